--- /dev/null
+++ b/crates/kernel/src/id.rs
@@ -0,0 +1,125 @@
+//! Strong types for the names and counters that messages carry.
+
+use serde::{Deserialize, Serialize};
+use std::borrow::Borrow;
+use std::fmt;
+use std::sync::Arc;
+
+macro_rules! string_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(text: String) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:?}", &*self.0)
+            }
+        }
+    };
+}
+
+string_id!(
+    /// One run of an entry host process: the configured name and a boot nonce.
+    ///
+    /// A restarted process keeps nothing, so it is a new member with a new id.
+    HostId
+);
+string_id!(
+    /// One upstream instance.
+    UpstreamId
+);
+string_id!(
+    /// A service of the sheet.
+    ServiceName
+);
+string_id!(
+    /// A failure domain.
+    DomainName
+);
+string_id!(
+    /// A customer of the sheet.
+    CustomerName
+);
+string_id!(
+    /// The id that matches an answer to its request.
+    RequestId
+);
+
+macro_rules! counter_id {
+    ($(#[$doc:meta])* $name:ident, $inner:ty) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl $name {
+            /// Returns the successor.
+            pub const fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+    };
+}
+
+counter_id!(
+    /// A fencing token; a greater one supersedes all smaller ones.
+    Epoch,
+    u64
+);
+counter_id!(
+    /// The version of a table row, counted by the table; 0 is an absent row.
+    Version,
+    u64
+);
+counter_id!(
+    /// A shard of a divided service.
+    ShardId,
+    u32
+);
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,30 @@
+//! Identifiers, time, verdicts and the plug-in registry that every area shares.
+//!
+//! The decision crates are deterministic state machines over `(now, event)`.
+//! They take the time as a [`Moment`] and never read a clock. Parts that need
+//! to wake up subscribe to the one [`TimerService`] of their process.
+//!
+//! ```
+//! use kernel::{Clock, Moment, SystemClock, Verdict};
+//! use std::time::Duration;
+//!
+//! let clock = SystemClock::new();
+//! let start: Moment = clock.now();
+//! assert!(clock.now() >= start);
+//! assert!(start + Duration::from_millis(5) > start);
+//! assert_eq!(Verdict::NotRun.to_string(), "not-run");
+//! ```
+
+mod id;
+mod plugin;
+mod time;
+mod timer;
+mod verdict;
+
+pub use id::{
+    CustomerName, DomainName, Epoch, HostId, RequestId, ServiceName, ShardId, UpstreamId, Version,
+};
+pub use plugin::{Named, UnknownPlugin, find_plugin, inventory};
+pub use time::{Clock, ManualClock, Moment, SystemClock};
+pub use timer::{TimerService, TimerSubscription};
+pub use verdict::{Cause, Refusal, Verdict};
--- /dev/null
+++ b/crates/kernel/src/time.rs
@@ -0,0 +1,109 @@
+//! Monotonic time as the state machines see it.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// A monotonic point in time, in microseconds since an origin of its process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Moment(u64);
+
+impl Moment {
+    /// The origin.
+    pub const ZERO: Self = Self(0);
+
+    /// Builds a moment from microseconds since the origin.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Builds a moment from milliseconds since the origin.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1000)
+    }
+
+    /// Returns microseconds since the origin.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the time since `earlier`, or zero when `earlier` is later.
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Returns the moment `span` earlier, or the origin.
+    pub fn before(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(span.as_micros() as u64))
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(span.as_micros() as u64))
+    }
+}
+
+impl Sub for Moment {
+    type Output = Duration;
+
+    fn sub(self, earlier: Self) -> Duration {
+        self.since(earlier)
+    }
+}
+
+/// A source of monotonic time.
+pub trait Clock: Send + Sync + fmt::Debug {
+    /// Returns the present moment.
+    fn now(&self) -> Moment;
+}
+
+/// The operating system's monotonic clock.
+#[derive(Clone, Debug)]
+pub struct SystemClock {
+    origin: Instant,
+}
+
+impl SystemClock {
+    /// Starts a clock; its origin lies one second back so that no reading is zero.
+    pub fn new() -> Self {
+        let now = Instant::now();
+        let origin = now.checked_sub(Duration::from_secs(1)).unwrap_or(now);
+        Self { origin }
+    }
+}
+
+impl Default for SystemClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for SystemClock {
+    fn now(&self) -> Moment {
+        Moment(self.origin.elapsed().as_micros() as u64)
+    }
+}
+
+/// A clock that a test moves by hand.
+#[derive(Clone, Debug, Default)]
+pub struct ManualClock {
+    micros: Arc<AtomicU64>,
+}
+
+impl ManualClock {
+    /// Sets the reading.
+    pub fn set(&self, now: Moment) {
+        self.micros.store(now.0, Ordering::SeqCst);
+    }
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> Moment {
+        Moment(self.micros.load(Ordering::SeqCst))
+    }
+}
--- /dev/null
+++ b/crates/member/src/beat.rs
@@ -0,0 +1,47 @@
+//! The content of a heartbeat and of its acknowledgement.
+
+use kernel::{DomainName, HostId, UpstreamId, Version};
+use serde::{Deserialize, Serialize};
+
+/// What one host tells another, in a heartbeat or its acknowledgement.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The sender.
+    pub from: HostId,
+    /// The sender's failure domain.
+    pub domain: DomainName,
+    /// Whether the sender is on its way out and takes nothing over.
+    pub is_leaving: bool,
+    /// Version of the sender's domain row that the sender knows.
+    pub row_version: Version,
+    /// Combined hash of the versions of all rows that the sender knows.
+    pub fingerprint: u64,
+    /// Version of the sheet in force at the sender.
+    pub sheet_version: Version,
+    /// Loads of the upstreams whose primary the sender is.
+    pub loads: Vec<UpstreamLoad>,
+    /// Requests suspected of crashing upstreams.
+    pub suspects: Vec<Suspect>,
+}
+
+/// Load of one upstream as its primary measured it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct UpstreamLoad {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Slot time used, in milliseconds per second.
+    pub slot_ms: u32,
+    /// Expected wait of a new request, in milliseconds.
+    pub wait_ms: u32,
+}
+
+/// A request's fingerprint that was running when an upstream died.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// Hash of the request's service, kind, key and body.
+    pub fingerprint: u64,
+    /// Number of upstreams lost while running it.
+    pub losses: u32,
+    /// Time for which the suspicion still holds, in milliseconds.
+    pub remaining_ms: u32,
+}
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,27 @@
+//! Membership: which hosts are heard, who witnesses whom, and who confirms whom.
+//!
+//! Every host sends heartbeats to its [witnesses](witness_set), a bounded set of
+//! hosts of its own domain chosen by rendezvous hashing, and to a few hosts of
+//! each other domain. An acknowledged heartbeat confirms the sender's standing
+//! as far as the witness's view of the domain's row goes; see
+//! [`PeerTable::confirmed_at`].
+//!
+//! ```
+//! use kernel::HostId;
+//! use member::{quorum_size, witness_set};
+//!
+//! let hosts: Vec<HostId> = (0..4).map(|n| HostId::from(format!("h{n}"))).collect();
+//! let witnesses = witness_set(&hosts[0], hosts.iter());
+//! assert_eq!(witnesses.len(), 3);
+//! assert_eq!(quorum_size(witnesses.len()), 2);
+//! ```
+
+mod beat;
+mod peers;
+mod rendezvous;
+mod witness;
+
+pub use beat::{Beat, Suspect, UpstreamLoad};
+pub use peers::{PeerState, PeerTable};
+pub use rendezvous::{rank_by_weight, weight};
+pub use witness::{WITNESS_LIMIT, quorum_size, witness_set};
--- /dev/null
+++ b/crates/owner/src/balance.rs
@@ -0,0 +1,259 @@
+//! Measured loads and the planned moves that follow from them.
+
+use crate::held::ShardMove;
+use crate::{ControlCore, PlacementView, UpstreamStanding, UpstreamState};
+use indexmap::IndexMap;
+use kernel::{DomainName, Moment, ServiceName, ShardId, UpstreamId};
+use std::time::Duration;
+
+const BALANCE_PERIOD: Duration = Duration::from_millis(500);
+/// Loads settle for this long after a move before the next one is weighed.
+const MOVE_PAUSE: Duration = Duration::from_secs(2);
+/// Weight of a new measurement, in percent.
+const NEW_LOAD_PERCENT: u64 = 50;
+
+/// Slot time that one shard of a held upstream used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ShardLoad {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// The shard; absent for work of undivided services.
+    pub shard: Option<ShardId>,
+    /// Slot time used, in milliseconds per second.
+    pub slot_ms: u32,
+}
+
+/// Smoothed loads of held upstreams.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LoadBook {
+    loads: IndexMap<UpstreamId, IndexMap<Option<ShardId>, u32>>,
+    next_balance_at: Moment,
+    last_move_at: IndexMap<UpstreamId, Moment>,
+}
+
+impl LoadBook {
+    /// Returns the load of an upstream, in slot milliseconds per second.
+    pub fn total(&self, upstream: &UpstreamId) -> u32 {
+        self.loads
+            .get(upstream)
+            .map_or(0, |shards| shards.values().sum())
+    }
+
+    fn record(&mut self, measured: &[ShardLoad]) {
+        for shards in self.loads.values_mut() {
+            for smoothed in shards.values_mut() {
+                *smoothed = smooth(*smoothed, 0);
+            }
+            shards.retain(|_, smoothed| *smoothed > 0);
+        }
+        for load in measured {
+            let shards = self.loads.entry(load.upstream.clone()).or_default();
+            let smoothed = shards.entry(load.shard).or_insert(0);
+            let share = u64::from(load.slot_ms) * NEW_LOAD_PERCENT / 100;
+            *smoothed += share as u32;
+        }
+    }
+
+    fn shards(&self, upstream: &UpstreamId) -> Vec<ShardLoad> {
+        let Some(shards) = self.loads.get(upstream) else {
+            return Vec::new();
+        };
+        let mut loads = Vec::new();
+        for (shard, slot_ms) in shards {
+            loads.push(ShardLoad {
+                upstream: upstream.clone(),
+                shard: *shard,
+                slot_ms: *slot_ms,
+            });
+        }
+        loads
+    }
+}
+
+fn smooth(old: u32, new: u32) -> u32 {
+    let kept = u64::from(old) * (100 - NEW_LOAD_PERCENT);
+    ((kept + u64::from(new) * NEW_LOAD_PERCENT) / 100) as u32
+}
+
+impl ControlCore {
+    /// Takes in the loads measured since the last call.
+    pub fn set_loads(&mut self, measured: &[ShardLoad]) {
+        self.loads.record(measured);
+    }
+
+    /// Begins moves away from leaving and from overloaded upstreams.
+    pub(crate) fn balance(&mut self, now: Moment) {
+        self.empty_leaving(now);
+        if now < self.loads.next_balance_at || self.table.failing_since.is_some() {
+            return;
+        }
+        self.loads.next_balance_at = now + BALANCE_PERIOD;
+        let ids: Vec<UpstreamId> = self.held.keys().cloned().collect();
+        for id in ids {
+            self.relieve(now, &id);
+        }
+    }
+
+    fn empty_leaving(&mut self, now: Moment) {
+        if self.table.failing_since.is_some() {
+            return;
+        }
+        let ids: Vec<UpstreamId> = self.held.keys().cloned().collect();
+        for id in ids {
+            let held = &self.held[&id];
+            if !held.is_usable(now) || !self.is_upstream_leaving(&id) {
+                continue;
+            }
+            let service = held.service.clone();
+            let mut candidates = self.candidates(now, &service, &id);
+            for grant in self.assigned_grants(&service, &id) {
+                if self.held[&id].is_withheld(grant.shard) {
+                    continue;
+                }
+                let Some(target) = self.pick_and_count(&mut candidates) else {
+                    break;
+                };
+                self.begin_move(now, &id, grant.shard, target);
+            }
+        }
+    }
+
+    /// Picks a target and counts the shard as its own from then on.
+    pub(crate) fn pick_and_count(
+        &self,
+        candidates: &mut [UpstreamStanding],
+    ) -> Option<(UpstreamId, DomainName)> {
+        let view = PlacementView { candidates };
+        let picked = self.policy.pick_target(&view)?;
+        let (id, domain) = (picked.id.clone(), picked.domain.clone());
+        let mean = mean_shard_load(candidates);
+        for candidate in candidates.iter_mut() {
+            if candidate.id != id {
+                continue;
+            }
+            candidate.shards += 1;
+            candidate.slot_ms += mean;
+        }
+        Some((id, domain))
+    }
+
+    fn relieve(&mut self, now: Moment, id: &UpstreamId) {
+        let held = &self.held[id];
+        let is_busy_moving = !held.moves.is_empty() || !held.committing.is_empty();
+        let moved_at = self.loads.last_move_at.get(id).copied();
+        let is_pausing = moved_at.is_some_and(|at| now - at < MOVE_PAUSE);
+        if is_busy_moving || is_pausing || !held.is_usable(now) || self.is_upstream_leaving(id) {
+            return;
+        }
+        let grants = self.assigned_grants(&held.service, id);
+        if grants.len() < 2 {
+            return;
+        }
+        let candidates = self.candidates(now, &held.service, id);
+        let from = UpstreamStanding {
+            id: id.clone(),
+            domain: self.domain.clone(),
+            slot_ms: self.loads.total(id),
+            shards: grants.len() as u32,
+            is_local: true,
+        };
+        let mut shards = self.loads.shards(id);
+        shards.retain(|load| grants.iter().any(|grant| Some(grant.shard) == load.shard));
+        let view = PlacementView {
+            candidates: &candidates,
+        };
+        let Some((shard, target)) = self.policy.pick_move(&from, &shards, &view) else {
+            return;
+        };
+        let target = (target.id.clone(), target.domain.clone());
+        self.begin_move(now, id, shard, target);
+    }
+
+    fn begin_move(
+        &mut self,
+        now: Moment,
+        id: &UpstreamId,
+        shard: ShardId,
+        (target, domain): (UpstreamId, DomainName),
+    ) {
+        let Some(held) = self.held.get_mut(id) else {
+            return;
+        };
+        held.moves.insert(
+            shard,
+            ShardMove {
+                target,
+                domain,
+                since: now,
+                released_at: None,
+            },
+        );
+        held.book.hasten(now);
+        self.loads.last_move_at.insert(id.clone(), now);
+        self.moves_begun += 1;
+        self.touch();
+    }
+
+    /// Returns the upstreams of a service that could take a shard from `from`.
+    pub(crate) fn candidates(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        from: &UpstreamId,
+    ) -> Vec<UpstreamStanding> {
+        let mut candidates = Vec::new();
+        let mut add = |core: &Self, id: &UpstreamId, slot_ms: u32| {
+            let Some(candidate) = core.standing_of(service, id, slot_ms) else {
+                return;
+            };
+            if candidate.id != *from {
+                candidates.push(candidate);
+            }
+        };
+        for load in self.own_loads(now) {
+            add(self, &load.upstream, load.slot_ms);
+        }
+        for (_, peer) in self.peers.heard(now) {
+            for load in &peer.beat.loads {
+                add(self, &load.upstream, load.slot_ms);
+            }
+        }
+        candidates.sort_by(|a, b| a.id.cmp(&b.id));
+        candidates.dedup_by(|a, b| a.id == b.id);
+        candidates
+    }
+
+    fn standing_of(
+        &self,
+        service: &ServiceName,
+        id: &UpstreamId,
+        slot_ms: u32,
+    ) -> Option<UpstreamStanding> {
+        for (domain, row) in self.rows.domains() {
+            let Some(entry) = row.upstreams.get(id) else {
+                continue;
+            };
+            if entry.service != *service || entry.state == UpstreamState::Leaving {
+                return None;
+            }
+            let shards = self
+                .rows
+                .assign(service, domain)
+                .map_or(0, |row| crate::core::grants_in(row, id).len() as u32);
+            return Some(UpstreamStanding {
+                id: id.clone(),
+                domain: domain.clone(),
+                slot_ms,
+                shards,
+                is_local: *domain == self.domain,
+            });
+        }
+        None
+    }
+}
+
+fn mean_shard_load(candidates: &[UpstreamStanding]) -> u32 {
+    let shards: u32 = candidates.iter().map(|c| c.shards).sum();
+    let load: u32 = candidates.iter().map(|c| c.slot_ms).sum();
+    load / shards.max(1) + 1
+}
--- /dev/null
+++ b/crates/owner/src/bootstrap.rs
@@ -0,0 +1,106 @@
+//! First assignment of a divided service, and the leaving state of upstreams.
+
+use crate::propose::Proposal;
+use crate::{
+    AssignRow, ControlCore, DomainRow, PlatformUpstream, RowContent, RowKey, ServiceRow,
+    ShardEntry, TableTransaction, UpstreamState,
+};
+use indexmap::IndexMap;
+use kernel::{DomainName, Epoch, Moment, ServiceName, ShardId};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time for the platform's list to fill before shards are first assigned.
+const LIST_SETTLE: Duration = Duration::from_millis(300);
+
+impl ControlCore {
+    /// Assigns all shards of a divided service that has none yet.
+    ///
+    /// The service's row is created in the same transaction, so of several
+    /// hosts that propose different assignments one wins.
+    pub(crate) fn propose_bootstrap(&self, now: Moment) -> Option<Proposal> {
+        let loaded = self.sheet.as_ref()?;
+        let list = self.list.as_ref()?;
+        let is_settled = now - self.list_since >= LIST_SETTLE;
+        if !is_settled || !self.is_first_choice(now, "bootstrap") {
+            return None;
+        }
+        for (service, plan) in &loaded.sheet.services {
+            let Some(keys) = &plan.keys else {
+                continue;
+            };
+            let key = RowKey::Service(service.clone());
+            if self.rows.version(&key).0 > 0 {
+                continue;
+            }
+            let instances: Vec<&PlatformUpstream> = list
+                .upstreams
+                .iter()
+                .filter(|upstream| upstream.service == *service && !upstream.is_leaving)
+                .collect();
+            if instances.is_empty() {
+                continue;
+            }
+            return Some(self.first_assignment(service, keys.shards, &instances));
+        }
+        None
+    }
+
+    fn first_assignment(
+        &self,
+        service: &ServiceName,
+        shards: u32,
+        instances: &[&PlatformUpstream],
+    ) -> Proposal {
+        let mut rows: IndexMap<DomainName, AssignRow> = IndexMap::new();
+        for number in 0..shards {
+            let instance = instances[number as usize % instances.len()];
+            let row = rows.entry(instance.domain.clone()).or_default();
+            let entry = ShardEntry {
+                upstream: instance.id.clone(),
+                epoch: Epoch(1),
+            };
+            row.shards.insert(ShardId(number), entry);
+        }
+        let service_row = RowContent::Service(ServiceRow { shards });
+        let mut writes = vec![self.write_over(RowKey::Service(service.clone()), service_row)];
+        for (domain, row) in rows {
+            let key = RowKey::Assign(service.clone(), domain);
+            writes.push(self.write_over(key, RowContent::Assign(Arc::new(row))));
+        }
+        Proposal {
+            transaction: TableTransaction {
+                checks: Vec::new(),
+                writes,
+            },
+            taken: Vec::new(),
+        }
+    }
+
+    /// Writes down which upstreams are leaving, or are back.
+    pub(crate) fn propose_states(&self) -> Option<Proposal> {
+        for (domain, row) in self.rows.domains() {
+            let mut next = DomainRow::clone(row);
+            let mut is_changed = false;
+            for (id, entry) in &mut next.upstreams {
+                let wanted = match self.drains.get(id) {
+                    Some(true) => UpstreamState::Leaving,
+                    Some(false) => UpstreamState::Live,
+                    None if entry.primary == self.me && self.is_listed_leaving(id) => {
+                        UpstreamState::Leaving
+                    }
+                    None => entry.state,
+                };
+                is_changed |= entry.state != wanted;
+                entry.state = wanted;
+            }
+            if !is_changed {
+                continue;
+            }
+            let key = RowKey::Domain(domain.clone());
+            let write = self.write_over(key, RowContent::Domain(Arc::new(next)));
+            return Some(Proposal::of_write(write));
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/owner/src/core.rs
@@ -0,0 +1,644 @@
+//! The control state machine.
+
+use crate::balance::LoadBook;
+use crate::held::HeldUpstream;
+use crate::links::LinkPlan;
+use crate::table::TableState;
+use crate::{
+    Action, AssignRow, CommitId, CommitOutcome, DomainRow, Event, HostAddress, LeaseOrder,
+    LeaseResult, PlacementPolicy, PlatformList, RowBook, RowContent, RowKey, ShardGrant, Timing,
+    UpstreamState, VersionedRow, grant_tag,
+};
+use indexmap::IndexMap;
+use kernel::{DomainName, Epoch, HostId, Moment, ServiceName, UpstreamId, Version};
+use member::{Beat, PeerTable, Suspect, UpstreamLoad};
+use sheet::Sheet;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Between orders to an upstream that does not yet hold what it should.
+const HASTY_ORDER_PAUSE: Duration = Duration::from_millis(4);
+const FORGET_PEER_AFTER: Duration = Duration::from_secs(120);
+
+/// A sheet in force.
+#[derive(Clone, Debug)]
+pub(crate) struct LoadedSheet {
+    pub version: Version,
+    pub sheet: Arc<Sheet>,
+}
+
+/// The control state machine of one host.
+#[derive(Debug)]
+pub struct ControlCore {
+    pub(crate) me: HostId,
+    pub(crate) domain: DomainName,
+    pub(crate) address: HostAddress,
+    pub(crate) timing: Timing,
+    pub(crate) policy: Box<dyn PlacementPolicy>,
+    pub(crate) started_at: Moment,
+    pub(crate) settled_since: Moment,
+    pub(crate) last_tick: Moment,
+    pub(crate) is_leaving: bool,
+    pub(crate) rows: RowBook,
+    pub(crate) peers: PeerTable,
+    pub(crate) links: LinkPlan,
+    pub(crate) list: Option<PlatformList>,
+    pub(crate) list_since: Moment,
+    pub(crate) sheet: Option<LoadedSheet>,
+    pub(crate) held: IndexMap<UpstreamId, HeldUpstream>,
+    pub(crate) table: TableState,
+    pub(crate) loads: LoadBook,
+    pub(crate) drains: IndexMap<UpstreamId, bool>,
+    pub(crate) suspects: Vec<Suspect>,
+    pub(crate) waits: IndexMap<UpstreamId, u32>,
+    pub(crate) moves_begun: u64,
+    pub(crate) violations: u64,
+    generation: u64,
+    actions: Vec<Action>,
+}
+
+/// Figures on the control state for status pages and metrics.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CoreStatus {
+    /// Hosts heard recently.
+    pub hosts_heard: usize,
+    /// Upstreams whose primary this host is.
+    pub upstreams_held: usize,
+    /// Whether the own standing is confirmed.
+    pub has_standing: bool,
+    /// For how long the table has not answered.
+    pub table_failing_for: Option<Duration>,
+    /// Whether a transaction's outcome is open.
+    pub has_open_commit: bool,
+    /// Planned moves begun.
+    pub moves_begun: u64,
+    /// Invariants found broken; must be 0.
+    pub violations: u64,
+}
+
+impl ControlCore {
+    /// Builds the state of a host that has just started and knows nothing.
+    pub fn new(
+        now: Moment,
+        me: HostId,
+        domain: DomainName,
+        address: HostAddress,
+        timing: Timing,
+        policy: Box<dyn PlacementPolicy>,
+    ) -> Self {
+        Self {
+            me,
+            domain,
+            address,
+            timing,
+            policy,
+            started_at: now,
+            settled_since: now,
+            last_tick: now,
+            is_leaving: false,
+            rows: RowBook::default(),
+            peers: PeerTable::new(timing.silence()),
+            links: LinkPlan::default(),
+            list: None,
+            list_since: now,
+            sheet: None,
+            held: IndexMap::new(),
+            table: TableState::default(),
+            loads: LoadBook::default(),
+            drains: IndexMap::new(),
+            suspects: Vec::new(),
+            waits: IndexMap::new(),
+            moves_begun: 0,
+            violations: 0,
+            generation: 0,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Sets addresses of hosts to ask before any row is known.
+    pub fn set_seeds(&mut self, seeds: Vec<HostAddress>) {
+        self.links.set_seeds(seeds);
+    }
+
+    /// Returns this host's id.
+    pub fn id(&self) -> &HostId {
+        &self.me
+    }
+
+    /// Returns the intervals in force.
+    pub fn timing(&self) -> &Timing {
+        &self.timing
+    }
+
+    /// Returns the known rows.
+    pub fn rows(&self) -> &RowBook {
+        &self.rows
+    }
+
+    /// Returns the known peers.
+    pub fn peers(&self) -> &PeerTable {
+        &self.peers
+    }
+
+    /// Returns the sheet in force and its version.
+    pub fn sheet(&self) -> Option<(Version, &Arc<Sheet>)> {
+        let loaded = self.sheet.as_ref()?;
+        Some((loaded.version, &loaded.sheet))
+    }
+
+    /// Returns a number that grows whenever routing may have changed.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Takes the actions left since the last call.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns figures on the present state.
+    pub fn status(&self, now: Moment) -> CoreStatus {
+        CoreStatus {
+            hosts_heard: self.peers.heard(now).count(),
+            upstreams_held: self.held.len(),
+            has_standing: self.has_standing(now),
+            table_failing_for: self.table.failing_since.map(|since| now - since),
+            has_open_commit: self.table.open.is_some(),
+            moves_begun: self.moves_begun,
+            violations: self.violations,
+        }
+    }
+
+    /// Sets what rides on heartbeats besides the control state.
+    ///
+    /// `waits` are the expected waits at held upstreams, in milliseconds.
+    pub fn set_riders(&mut self, suspects: Vec<Suspect>, waits: IndexMap<UpstreamId, u32>) {
+        self.suspects = suspects;
+        self.waits = waits;
+    }
+
+    /// Takes in an event.
+    pub fn handle(&mut self, now: Moment, event: Event) {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::BeatReceived(beat) => self.note_beat(now, &beat),
+            Event::BeatAcknowledged { sent, beat } => self.note_acknowledgement(now, sent, &beat),
+            Event::PushAcknowledged(beat) => self.note_beat(now, &beat),
+            Event::RowsReceived { from, rows } => self.learn_rows(now, &rows, Some(&from)),
+            Event::TableRead { started, rows } => self.note_table_read(now, started, &rows),
+            Event::TableReadFailed => {
+                self.table.is_reading = false;
+                self.table.note_failure(now);
+            }
+            Event::CommitEnded { id, outcome } => self.end_commit(now, id, outcome),
+            Event::LeaseAnswered {
+                upstream,
+                epoch,
+                sent,
+                result,
+            } => self.note_lease(now, &upstream, epoch, sent, &result),
+            Event::ListRead(list) => self.note_list(now, list),
+            Event::SheetLoaded { version, sheet } => self.note_sheet(version, sheet),
+            Event::LeaveRequested => self.is_leaving = true,
+            Event::DrainRequested {
+                upstream,
+                is_leaving,
+            } => {
+                self.drains.insert(upstream, is_leaving);
+            }
+        }
+        self.propose(now);
+    }
+
+    /// Returns the heartbeat to send now.
+    pub fn beat(&self, now: Moment) -> Beat {
+        Beat {
+            from: self.me.clone(),
+            domain: self.domain.clone(),
+            is_leaving: self.is_leaving,
+            row_version: self.own_row_version(),
+            fingerprint: self.rows.fingerprint(),
+            sheet_version: self.sheet.as_ref().map_or(Version(0), |s| s.version),
+            loads: self.own_loads(now),
+            suspects: self.suspects.clone(),
+        }
+    }
+
+    /// Returns all known rows, for a host that asks.
+    pub fn all_rows(&self) -> Vec<VersionedRow> {
+        self.rows.iter().cloned().collect()
+    }
+
+    pub(crate) fn act(&mut self, action: Action) {
+        self.actions.push(action);
+    }
+
+    pub(crate) fn touch(&mut self) {
+        self.generation += 1;
+    }
+
+    pub(crate) fn own_row(&self) -> Option<&Arc<DomainRow>> {
+        self.rows.domain(&self.domain)
+    }
+
+    pub(crate) fn own_row_version(&self) -> Version {
+        self.rows.version(&RowKey::Domain(self.domain.clone()))
+    }
+
+    /// Returns the grants that rows assign to an upstream, by shard.
+    pub(crate) fn assigned_grants(
+        &self,
+        service: &ServiceName,
+        upstream: &UpstreamId,
+    ) -> Vec<ShardGrant> {
+        let Some(row) = self.rows.assign(service, &self.domain) else {
+            return Vec::new();
+        };
+        grants_in(row, upstream)
+    }
+
+    fn tick(&mut self, now: Moment) {
+        if now - self.last_tick > self.timing.silence() {
+            // This process was paused: others may have taken over meanwhile.
+            self.settled_since = now;
+        }
+        self.last_tick = now;
+        self.peers.forget_older(now, FORGET_PEER_AFTER);
+        self.send_beats(now);
+        self.note_lapses(now);
+        self.order_leases(now);
+        self.read_table_if_due(now);
+        self.balance(now);
+    }
+
+    fn note_beat(&mut self, now: Moment, beat: &Beat) {
+        let was_heard = self.peers.is_available(now, &beat.from);
+        self.peers.hear(now, beat);
+        self.note_peer_change(now, was_heard, beat);
+    }
+
+    fn note_acknowledgement(&mut self, now: Moment, sent: Moment, beat: &Beat) {
+        let was_heard = self.peers.is_available(now, &beat.from);
+        let own_version = if beat.domain == self.domain {
+            self.own_row_version()
+        } else {
+            Version(0)
+        };
+        self.peers.acknowledge(now, sent, beat, own_version);
+        self.note_peer_change(now, was_heard, beat);
+    }
+
+    fn note_peer_change(&mut self, now: Moment, was_heard: bool, beat: &Beat) {
+        if was_heard != self.peers.is_available(now, &beat.from) {
+            self.touch();
+        }
+        self.note_claim_quorums(now);
+        let has_newer_sheet = beat.sheet_version > self.rows.version(&RowKey::Config);
+        if beat.fingerprint != self.rows.fingerprint() || has_newer_sheet {
+            self.pull_from(now, &beat.from);
+        }
+    }
+
+    /// Takes rows in and passes on those that were news.
+    pub(crate) fn learn_rows(
+        &mut self,
+        now: Moment,
+        rows: &[VersionedRow],
+        source: Option<&HostId>,
+    ) {
+        let mut news = Vec::new();
+        for row in rows {
+            self.check_growth(row);
+            if self.rows.learn(row) {
+                news.push(row.clone());
+            }
+        }
+        if news.is_empty() {
+            return;
+        }
+        self.touch();
+        self.table.settle_unknown(&self.rows);
+        self.clear_committing();
+        self.note_own_row(now);
+        self.drop_finished_moves();
+        self.load_sheet_if_newer();
+        self.push_news(now, news, source);
+    }
+
+    /// Asserts that shard epochs only grow with a row's version.
+    fn check_growth(&mut self, row: &VersionedRow) {
+        let (RowKey::Assign(service, domain), RowContent::Assign(next)) = (&row.key, &row.content)
+        else {
+            return;
+        };
+        if row.version <= self.rows.version(&row.key) {
+            return;
+        }
+        let Some(known) = self.rows.assign(service, domain) else {
+            return;
+        };
+        for (shard, entry) in &next.shards {
+            let Some(old) = known.shards.get(shard) else {
+                continue;
+            };
+            let is_sound = entry.epoch > old.epoch
+                || (entry.epoch == old.epoch && entry.upstream == old.upstream);
+            debug_assert!(is_sound, "epoch of shard {shard} of {service} did not grow");
+            if !is_sound {
+                self.violations += 1;
+            }
+        }
+    }
+
+    fn clear_committing(&mut self) {
+        if self.table.open.is_some() {
+            return;
+        }
+        for held in self.held.values_mut() {
+            held.committing.clear();
+        }
+    }
+
+    /// Starts books for upstreams newly held and drops those no longer held.
+    fn note_own_row(&mut self, now: Moment) {
+        let Some(row) = self.own_row().cloned() else {
+            return;
+        };
+        let version = self.own_row_version();
+        let me = &self.me;
+        let before = self.held.len();
+        self.held.retain(|id, held| {
+            row.upstreams
+                .get(id)
+                .is_some_and(|entry| entry.primary == *me && entry.epoch == held.book.epoch())
+        });
+        if self.held.len() < before {
+            self.settled_since = now;
+        }
+        for (id, entry) in &row.upstreams {
+            if entry.primary != self.me || self.held.contains_key(id) {
+                continue;
+            }
+            let held = HeldUpstream::new(now, entry, version);
+            self.held.insert(id.clone(), held);
+        }
+        self.note_claim_quorums(now);
+    }
+
+    fn drop_finished_moves(&mut self) {
+        for (id, held) in &mut self.held {
+            let Some(row) = self.rows.assign(&held.service, &self.domain) else {
+                continue;
+            };
+            held.moves.retain(|shard, _| {
+                let entry = row.shards.get(shard);
+                entry.is_some_and(|entry| entry.upstream == *id)
+            });
+            held.book.hasten(self.last_tick);
+        }
+    }
+
+    fn note_table_read(&mut self, now: Moment, started: Moment, rows: &[VersionedRow]) {
+        self.table.is_reading = false;
+        self.table.wants_read = false;
+        self.table.note_answer();
+        self.learn_rows(now, rows, None);
+        self.table.read_started = self.table.read_started.max(Some(started));
+        self.resend_unknown();
+    }
+
+    /// Sends a transaction again whose answer was lost and that has no effect yet.
+    fn resend_unknown(&mut self) {
+        let Some(open) = &mut self.table.open else {
+            return;
+        };
+        if !open.is_unknown {
+            return;
+        }
+        open.is_unknown = false;
+        let action = Action::Commit {
+            id: open.id,
+            transaction: open.transaction.clone(),
+        };
+        self.act(action);
+    }
+
+    fn end_commit(&mut self, now: Moment, id: CommitId, outcome: CommitOutcome) {
+        if self.table.open.as_ref().is_none_or(|open| open.id != id) {
+            if let CommitOutcome::Committed(rows) = outcome {
+                self.learn_rows(now, &rows, None);
+            }
+            return;
+        }
+        match outcome {
+            CommitOutcome::Committed(rows) => {
+                self.table.open = None;
+                self.table.note_answer();
+                self.learn_rows(now, &rows, None);
+            }
+            CommitOutcome::Conflict => {
+                self.table.open = None;
+                self.table.note_answer();
+                self.table.wants_read = true;
+            }
+            CommitOutcome::NotTried => {
+                self.table.open = None;
+                self.table.note_failure(now);
+            }
+            CommitOutcome::Unknown => {
+                self.table.note_failure(now);
+                self.table.wants_read = true;
+                if let Some(open) = &mut self.table.open {
+                    open.is_unknown = true;
+                }
+            }
+        }
+        self.clear_committing();
+        self.read_table_if_due(now);
+    }
+
+    fn note_list(&mut self, now: Moment, list: PlatformList) {
+        if self.list.is_none() {
+            self.list_since = now;
+        }
+        if self.list.as_ref() != Some(&list) {
+            self.touch();
+        }
+        self.list = Some(list);
+    }
+
+    fn note_sheet(&mut self, version: Version, sheet: Arc<Sheet>) {
+        let known = self.sheet.as_ref().map_or(Version(0), |s| s.version);
+        if version <= known {
+            return;
+        }
+        self.sheet = Some(LoadedSheet { version, sheet });
+        self.touch();
+        // A newer version may have been accepted while this one was loading.
+        self.load_sheet_if_newer();
+    }
+
+    fn load_sheet_if_newer(&mut self) {
+        let accepted = self.rows.version(&RowKey::Config);
+        let known = self.sheet.as_ref().map_or(Version(0), |s| s.version);
+        if accepted > known {
+            self.act(Action::LoadSheet { version: accepted });
+        }
+    }
+
+    fn note_lapses(&mut self, now: Moment) {
+        let mut changed = false;
+        for held in self.held.values_mut() {
+            let is_lost = !held.is_usable(now);
+            changed |= is_lost != held.is_lost;
+            held.is_lost = is_lost;
+            held.call_off_stuck_moves(now);
+        }
+        if changed {
+            self.touch();
+        }
+    }
+
+    /// Sends the lease orders that are due, while the own standing holds.
+    fn order_leases(&mut self, now: Moment) {
+        if !self.has_standing(now) {
+            return;
+        }
+        let ids: Vec<UpstreamId> = self.held.keys().cloned().collect();
+        for id in ids {
+            let held = &self.held[&id];
+            if held.order_in_flight || !held.book.is_due(now) {
+                continue;
+            }
+            let assigned = self.assigned_grants(&held.service, &id);
+            let timing = self.timing;
+            let Some(held) = self.held.get_mut(&id) else {
+                continue;
+            };
+            let action = build_order(held, &id, now, &timing, &assigned);
+            self.act(action);
+        }
+    }
+
+    fn note_lease(
+        &mut self,
+        now: Moment,
+        upstream: &UpstreamId,
+        epoch: Epoch,
+        sent: Moment,
+        result: &LeaseResult,
+    ) {
+        let Some(held) = self.held.get(upstream) else {
+            return;
+        };
+        if held.book.epoch() != epoch {
+            return;
+        }
+        let assigned = self.assigned_grants(&held.service, upstream);
+        let Some(held) = self.held.get_mut(upstream) else {
+            return;
+        };
+        held.order_in_flight = false;
+        let LeaseResult::Accepted(reply) = result else {
+            if matches!(result, LeaseResult::Superseded(_)) {
+                self.table.wants_read = true;
+            }
+            return;
+        };
+        let was_ready = held.is_usable(now) && held.holds_wanted(&assigned);
+        held.book.accept(now, sent, reply);
+        held.note_reply(now, reply, &assigned);
+        let is_ready = held.is_usable(now) && held.holds_wanted(&assigned);
+        if !is_ready || held.moves.values().any(|m| m.released_at.is_none()) {
+            held.book.hasten(now + HASTY_ORDER_PAUSE);
+        }
+        held.is_lost = !held.is_usable(now);
+        if was_ready != is_ready {
+            self.touch();
+        }
+    }
+
+    /// Returns whether an operator or the platform's list has the upstream leave.
+    pub(crate) fn is_upstream_leaving(&self, id: &UpstreamId) -> bool {
+        if let Some(is_leaving) = self.drains.get(id)
+            && *is_leaving
+        {
+            return true;
+        }
+        let in_row = self
+            .own_row()
+            .and_then(|row| row.upstreams.get(id))
+            .is_some_and(|entry| entry.state == UpstreamState::Leaving);
+        in_row || self.is_listed_leaving(id)
+    }
+
+    pub(crate) fn is_listed_leaving(&self, id: &UpstreamId) -> bool {
+        let Some(list) = &self.list else {
+            return false;
+        };
+        list.upstreams
+            .iter()
+            .any(|upstream| upstream.id == *id && upstream.is_leaving)
+    }
+
+    /// Returns loads of held upstreams that can be used now.
+    pub(crate) fn own_loads(&self, now: Moment) -> Vec<UpstreamLoad> {
+        let mut loads = Vec::new();
+        for (id, held) in &self.held {
+            if !held.is_usable(now) || self.is_upstream_leaving(id) {
+                continue;
+            }
+            loads.push(UpstreamLoad {
+                upstream: id.clone(),
+                slot_ms: self.loads.total(id),
+                wait_ms: self.waits.get(id).copied().unwrap_or(0),
+            });
+        }
+        loads
+    }
+}
+
+pub(crate) fn grants_in(row: &AssignRow, upstream: &UpstreamId) -> Vec<ShardGrant> {
+    let mut grants = Vec::new();
+    for (shard, entry) in &row.shards {
+        if entry.upstream != *upstream {
+            continue;
+        }
+        grants.push(ShardGrant {
+            shard: *shard,
+            epoch: entry.epoch,
+        });
+    }
+    grants.sort_unstable_by_key(|grant| grant.shard);
+    grants
+}
+
+fn build_order(
+    held: &mut HeldUpstream,
+    id: &UpstreamId,
+    now: Moment,
+    timing: &Timing,
+    assigned: &[ShardGrant],
+) -> Action {
+    let wanted = held.wanted_grants(assigned);
+    let tag = grant_tag(&held.service, &wanted);
+    let until_us = held.book.order(now, timing);
+    let grants = if held.book.held_tag() == Some(tag) {
+        None
+    } else {
+        Some(wanted)
+    };
+    held.order_in_flight = true;
+    Action::OrderLease {
+        upstream: id.clone(),
+        address: held.address.clone(),
+        order: LeaseOrder {
+            epoch: held.book.epoch(),
+            sequence: held.book.next_sequence(),
+            boot: held.book.boot(),
+            until_us,
+            tag,
+            grants,
+        },
+    }
+}
--- /dev/null
+++ b/crates/owner/src/electorate.rs
@@ -0,0 +1,150 @@
+//! Changes of a domain's hosts, one at a time.
+//!
+//! A change of the hosts changes witness sets, on whose quorums the waits of a
+//! takeover rest. Quorums of consecutive sets intersect; to chain that over
+//! several changes, a change waits until a quorum of each affected primary's
+//! present witnesses knows of the change before (compare single-server
+//! membership changes in Ongaro's dissertation on Raft, section 4.1; here the
+//! table orders the changes and nothing is replicated).
+
+use crate::propose::Proposal;
+use crate::{ControlCore, DomainRow, RowContent, RowKey};
+use indexmap::IndexSet;
+use kernel::{HostId, Moment, Version};
+use member::witness_set;
+use std::sync::Arc;
+use std::time::Duration;
+
+const REMOVE_SILENT_AFTER: Duration = Duration::from_secs(10);
+/// Between the configured name and the boot nonce of a host's id.
+const NONCE_SEPARATOR: char = '#';
+
+impl ControlCore {
+    /// Adds this host to its domain's hosts.
+    pub(crate) fn propose_join(&self, now: Moment) -> Option<Proposal> {
+        if self.is_leaving {
+            return None;
+        }
+        let key = RowKey::Domain(self.domain.clone());
+        let row = match self.own_row() {
+            Some(row) if row.hosts.contains_key(&self.me) => return None,
+            Some(row) => DomainRow::clone(row),
+            None => DomainRow::default(),
+        };
+        let mut next = row.clone();
+        next.hosts.insert(self.me.clone(), self.address.clone());
+        if !self.may_change_hosts(now, &row, &next) {
+            return None;
+        }
+        next.hosts_set_at = self.rows.version(&key).next();
+        let write = self.write_over(key, RowContent::Domain(Arc::new(next)));
+        Some(Proposal::of_write(write))
+    }
+
+    /// Removes a host that is gone, or an upstream that nobody lists.
+    pub(crate) fn propose_removal(&self, now: Moment) -> Option<Proposal> {
+        let row = self.own_row()?;
+        if !row.hosts.contains_key(&self.me) || now - self.started_at < REMOVE_SILENT_AFTER / 4 {
+            return None;
+        }
+        for host in row.hosts.keys() {
+            if !self.is_removable(now, row, host) {
+                continue;
+            }
+            let witnesses = witness_set(host, row.hosts.keys());
+            if self.first_choice(now, host.as_str(), witnesses.into_iter()) != Some(&self.me) {
+                continue;
+            }
+            let mut next = DomainRow::clone(row);
+            next.hosts.shift_remove(host);
+            if !self.may_change_hosts(now, row, &next) {
+                continue;
+            }
+            next.hosts_set_at = self.own_row_version().next();
+            return Some(Proposal::of_write(self.write_own_row(next)));
+        }
+        self.propose_upstream_removal(now, row)
+    }
+
+    fn is_removable(&self, now: Moment, row: &DomainRow, host: &HostId) -> bool {
+        if *host == self.me || self.peers.is_heard(now, host) {
+            return false;
+        }
+        if row.upstreams.values().any(|entry| entry.primary == *host) {
+            return false;
+        }
+        let silent_since = self
+            .peers
+            .get(host)
+            .map_or(self.started_at, |peer| peer.heard_at);
+        self.peers.is_leaving(host)
+            || is_replaced(row, host)
+            || now - silent_since > REMOVE_SILENT_AFTER
+    }
+
+    /// Returns whether every primary whose witnesses change is covered.
+    fn may_change_hosts(&self, _now: Moment, row: &DomainRow, next: &DomainRow) -> bool {
+        for primary in primaries(row) {
+            let before = witness_set(primary, row.hosts.keys());
+            let after = witness_set(primary, next.hosts.keys());
+            let is_same = before.len() == after.len() && before.iter().all(|w| after.contains(w));
+            if is_same || before.is_empty() || row.hosts_set_at == Version(0) {
+                continue;
+            }
+            let own_version = self.own_row_version();
+            let is_known =
+                self.peers
+                    .is_known_by_quorum(&before, row.hosts_set_at, &self.me, own_version);
+            if !is_known {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn propose_upstream_removal(&self, now: Moment, row: &DomainRow) -> Option<Proposal> {
+        let list = self.list.as_ref()?;
+        if now - self.list_since < REMOVE_SILENT_AFTER {
+            return None;
+        }
+        for (id, held) in &self.held {
+            let is_listed = list.upstreams.iter().any(|upstream| upstream.id == *id);
+            if is_listed || held.is_usable(now) {
+                continue;
+            }
+            let is_silent = held
+                .book
+                .last_reply_at()
+                .is_none_or(|at| now - at > REMOVE_SILENT_AFTER);
+            let has_shards = !self.assigned_grants(&held.service, id).is_empty();
+            if !is_silent || has_shards {
+                continue;
+            }
+            let mut next = DomainRow::clone(row);
+            next.upstreams.shift_remove(id);
+            return Some(Proposal::of_write(self.write_own_row(next)));
+        }
+        None
+    }
+}
+
+/// Returns the hosts that may be renewing leases as far as the row tells.
+fn primaries(row: &DomainRow) -> IndexSet<&HostId> {
+    let mut hosts = IndexSet::new();
+    for entry in row.upstreams.values() {
+        hosts.insert(&entry.primary);
+        hosts.extend(&entry.unfenced);
+    }
+    hosts
+}
+
+/// Returns whether a later run of the same configured host is a member.
+fn is_replaced(row: &DomainRow, host: &HostId) -> bool {
+    let Some((name, _)) = host.as_str().split_once(NONCE_SEPARATOR) else {
+        return false;
+    };
+    row.hosts.keys().any(|other| {
+        let other_name = other.as_str().split_once(NONCE_SEPARATOR);
+        other != host && other_name.is_some_and(|(other_name, _)| other_name == name)
+    })
+}
--- /dev/null
+++ b/crates/owner/src/held.rs
@@ -0,0 +1,145 @@
+//! An upstream whose primary this host is.
+
+use crate::{LeaseBook, LeaseReply, ShardGrant, Timing, UpstreamEntry, grant_tag};
+use indexmap::{IndexMap, IndexSet};
+use kernel::{DomainName, HostId, Moment, ServiceName, ShardId, UpstreamId, Version};
+use std::time::Duration;
+
+/// A planned move that waits longer than this for running work is called off.
+const MOVE_PATIENCE: Duration = Duration::from_millis(700);
+
+/// Where a shard is to go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ShardMove {
+    /// The new owner.
+    pub target: UpstreamId,
+    /// The new owner's failure domain.
+    pub domain: DomainName,
+    /// When the move began.
+    pub since: Moment,
+    /// When the upstream confirmed that it runs nothing for the shard.
+    pub released_at: Option<Moment>,
+}
+
+/// What must hold before a claim that could not reach the upstream counts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ClaimWait {
+    /// Version of the domain row that holds the claim.
+    pub version: Version,
+    /// Earlier primaries that may still be renewing.
+    pub earlier: Vec<HostId>,
+    /// When the commit was learnt of.
+    pub learnt_at: Moment,
+    /// Since when a quorum of each earlier primary's witnesses knows the claim.
+    pub quorum_since: Option<Moment>,
+}
+
+impl ClaimWait {
+    /// Returns when leases renewed by an earlier primary have lapsed.
+    pub fn over_at(&self, timing: &Timing) -> Option<Moment> {
+        let known_since = self.quorum_since?.max(self.learnt_at);
+        Some(known_since + timing.confirm() + timing.lease() + 2 * timing.margin())
+    }
+}
+
+/// An upstream whose primary this host is.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldUpstream {
+    pub service: ServiceName,
+    pub address: String,
+    pub book: LeaseBook,
+    pub claim: ClaimWait,
+    pub moves: IndexMap<ShardId, ShardMove>,
+    /// Shards in a transaction whose outcome is open.
+    pub committing: IndexSet<ShardId>,
+    pub busy: IndexSet<ShardId>,
+    /// Grants that the upstream is known to hold.
+    pub confirmed: IndexSet<ShardGrant>,
+    pub running: u32,
+    pub order_in_flight: bool,
+    pub is_lost: bool,
+}
+
+impl HeldUpstream {
+    pub fn new(now: Moment, entry: &UpstreamEntry, version: Version) -> Self {
+        Self {
+            service: entry.service.clone(),
+            address: entry.address.clone(),
+            book: LeaseBook::new(now, entry.epoch),
+            claim: ClaimWait {
+                version,
+                earlier: entry.unfenced.clone(),
+                learnt_at: now,
+                quorum_since: None,
+            },
+            moves: IndexMap::new(),
+            committing: IndexSet::new(),
+            busy: IndexSet::new(),
+            confirmed: IndexSet::new(),
+            running: 0,
+            order_in_flight: false,
+            is_lost: false,
+        }
+    }
+
+    /// Returns whether the upstream is to hold no grant for `shard`.
+    pub fn is_withheld(&self, shard: ShardId) -> bool {
+        self.moves.contains_key(&shard) || self.committing.contains(&shard)
+    }
+
+    /// Returns the grants that the upstream is to hold of those `assigned`.
+    pub fn wanted_grants(&self, assigned: &[ShardGrant]) -> Vec<ShardGrant> {
+        let kept = assigned.iter().copied();
+        kept.filter(|grant| !self.is_withheld(grant.shard)).collect()
+    }
+
+    /// Returns whether the upstream holds just the wanted grants.
+    pub fn holds_wanted(&self, assigned: &[ShardGrant]) -> bool {
+        let wanted = self.wanted_grants(assigned);
+        self.book.held_tag() == Some(grant_tag(&self.service, &wanted))
+    }
+
+    /// Returns whether work may be sent at `now`.
+    pub fn is_usable(&self, now: Moment) -> bool {
+        self.book.usable_until().is_some_and(|end| now < end)
+    }
+
+    /// Returns whether shards may be taken away without the upstream's word.
+    pub fn is_lapsed(&self, now: Moment, timing: &Timing, unchecked_wait: Duration) -> bool {
+        let lapsed_by = if self.book.is_fenced() {
+            Some(self.book.lapsed_by(timing))
+        } else if self.claim.earlier.is_empty() {
+            Some(self.claim.learnt_at + timing.lease())
+        } else {
+            self.claim.over_at(timing)
+        };
+        lapsed_by.is_some_and(|end| now > end + unchecked_wait)
+    }
+
+    /// Takes in a reply: which shards run, and which moves may be committed.
+    pub fn note_reply(&mut self, now: Moment, reply: &LeaseReply, assigned: &[ShardGrant]) {
+        self.busy = reply.busy.iter().copied().collect();
+        self.running = reply.running;
+        if reply.held_tag.is_none() {
+            self.confirmed.clear();
+        }
+        if !self.holds_wanted(assigned) {
+            return;
+        }
+        self.confirmed = self.wanted_grants(assigned).into_iter().collect();
+        for (shard, shard_move) in &mut self.moves {
+            if self.busy.contains(shard) {
+                continue;
+            }
+            shard_move.released_at = shard_move.released_at.or(Some(now));
+        }
+    }
+
+    /// Calls off moves that have waited too long for running work.
+    pub fn call_off_stuck_moves(&mut self, now: Moment) {
+        let committing = &self.committing;
+        self.moves.retain(|shard, shard_move| {
+            committing.contains(shard) || now - shard_move.since <= MOVE_PATIENCE
+        });
+    }
+}
--- /dev/null
+++ b/crates/sheet/src/change.rs
@@ -0,0 +1,59 @@
+//! What a submission would change.
+
+use crate::Sheet;
+use indexmap::IndexMap;
+use serde::Serialize;
+use std::fmt;
+use std::fmt::Display;
+use std::hash::Hash;
+
+/// One difference between two sheets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "change", content = "place")]
+pub enum SheetChange {
+    /// The place is new.
+    Added(String),
+    /// The place is gone.
+    Removed(String),
+    /// The place has other content.
+    Altered(String),
+}
+
+impl Display for SheetChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Added(place) => write!(f, "+ {place}"),
+            Self::Removed(place) => write!(f, "- {place}"),
+            Self::Altered(place) => write!(f, "~ {place}"),
+        }
+    }
+}
+
+/// Lists the services and customers in which `next` differs from `current`.
+pub fn list_changes(current: &Sheet, next: &Sheet) -> Vec<SheetChange> {
+    let mut changes = Vec::new();
+    compare("services", &current.services, &next.services, &mut changes);
+    compare("customers", &current.customers, &next.customers, &mut changes);
+    changes
+}
+
+fn compare<K: Hash + Eq + Display, V: PartialEq>(
+    group: &str,
+    current: &IndexMap<K, V>,
+    next: &IndexMap<K, V>,
+    changes: &mut Vec<SheetChange>,
+) {
+    for (name, value) in next {
+        let place = format!("{group}.{name}");
+        match current.get(name) {
+            None => changes.push(SheetChange::Added(place)),
+            Some(old) if old != value => changes.push(SheetChange::Altered(place)),
+            Some(_) => {}
+        }
+    }
+    for name in current.keys() {
+        if !next.contains_key(name) {
+            changes.push(SheetChange::Removed(format!("{group}.{name}")));
+        }
+    }
+}
--- /dev/null
+++ b/crates/trestlectl/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main(){}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
