--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -1,1 +1,27 @@
-//! Placeholder.
+//! Stand-ins for the systems that entry hosts meet.
+//!
+//! - [`FakePlatform`]: the transactional table, the object store and the
+//!   lagging host list, with outages, delays, rate limits and lost answers;
+//! - [`FakeUpstream`]: an instance that takes fenced grants and runs simulated
+//!   work in slots, with the faults of real ones;
+//! - [`CutRelay`]: the network between two failure domains, which can be cut.
+//!
+//! The stand-ins keep the truth in a [`TruthLog`]: what ran, when, under which
+//! epoch, and who believed to own what.
+
+mod platform;
+mod platform_http;
+mod relay;
+mod table;
+mod truth;
+mod upstream;
+mod upstream_faults;
+mod upstream_lease;
+mod upstream_server;
+
+pub use platform::{FakePlatform, PlatformFaults};
+pub use relay::{CutRelay, RelayMode};
+pub use table::FakeTable;
+pub use truth::{RunId, RunRecord, TruthLog, TruthSummary};
+pub use upstream::{FakeUpstream, UpstreamSetup};
+pub use upstream_faults::UpstreamFaults;
--- /dev/null
+++ b/crates/gate/src/desks.rs
@@ -0,0 +1,213 @@
+//! The desks of all upstreams whose primary this host is.
+
+use crate::desk::UpstreamDesk;
+use crate::exchange::Exchanger;
+use crate::journal::Journal;
+use crate::limits::GateLimits;
+use crate::metrics::GateMetrics;
+use arc_swap::ArcSwap;
+use indexmap::IndexMap;
+use kernel::{Clock, Epoch, Moment, UnknownPlugin, UpstreamId};
+use limit::{Admission, AdmissionPlan};
+use member::Suspect;
+use owner::{OwnedUpstream, ShardLoad, UpstreamEntry};
+use parking_lot::Mutex;
+use retry::QuarantineBook;
+use sheet::{Rank, Sheet};
+use std::sync::Arc;
+use std::time::Duration;
+
+type DeskMap = IndexMap<UpstreamId, Arc<UpstreamDesk>>;
+
+/// The desks of a primary host.
+#[derive(Clone, Debug)]
+pub struct PrimaryDesks {
+    pub(crate) shared: Arc<DesksShared>,
+}
+
+#[derive(Debug)]
+pub(crate) struct DesksShared {
+    desks: ArcSwap<DeskMap>,
+    pub quarantine: Mutex<QuarantineBook>,
+    pub journal: Journal,
+    pub exchanger: Exchanger,
+    pub clock: Arc<dyn Clock>,
+    pub metrics: GateMetrics,
+    policy: String,
+    seed: u64,
+}
+
+impl PrimaryDesks {
+    /// Builds an empty set of desks whose queues use the pick policy `policy`.
+    pub fn new(
+        clock: Arc<dyn Clock>,
+        limits: GateLimits,
+        journal: Journal,
+        metrics: GateMetrics,
+        policy: &str,
+        seed: u64,
+    ) -> Self {
+        let quarantine = QuarantineBook::new(Duration::from_millis(limits.quarantine_ms));
+        Self {
+            shared: Arc::new(DesksShared {
+                desks: ArcSwap::default(),
+                quarantine: Mutex::new(quarantine),
+                journal,
+                exchanger: Exchanger {
+                    clock: Arc::clone(&clock),
+                    limits,
+                },
+                clock,
+                metrics,
+                policy: policy.to_owned(),
+                seed,
+            }),
+        }
+    }
+
+    /// Follows which upstreams this host is the primary of.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the pick policy is unknown.
+    pub fn update<'a>(
+        &self,
+        owned: &[OwnedUpstream],
+        sheet: Option<&Sheet>,
+        entry_of: impl Fn(&UpstreamId) -> Option<&'a UpstreamEntry>,
+    ) -> Result<(), UnknownPlugin> {
+        let present = self.shared.desks.load_full();
+        let mut next = DeskMap::with_capacity(owned.len());
+        for upstream in owned {
+            let Some(entry) = entry_of(&upstream.id) else {
+                continue;
+            };
+            let plan = plan_of(sheet, entry);
+            let desk = match present.get(&upstream.id) {
+                Some(desk) => Arc::clone(desk),
+                None => Arc::new(self.open(upstream, entry, plan.clone())?),
+            };
+            desk.set_plan(plan);
+            desk.update(upstream);
+            next.insert(upstream.id.clone(), desk);
+        }
+        let retired: Vec<_> = present
+            .values()
+            .filter(|desk| !next.contains_key(desk.id()))
+            .cloned()
+            .collect();
+        self.shared.desks.store(Arc::new(next));
+        for desk in retired {
+            desk.retire();
+        }
+        Ok(())
+    }
+
+    fn open(
+        &self,
+        upstream: &OwnedUpstream,
+        entry: &UpstreamEntry,
+        plan: AdmissionPlan,
+    ) -> Result<UpstreamDesk, UnknownPlugin> {
+        let shared = &self.shared;
+        let admission = Admission::new(plan, &shared.policy, shared.seed)?;
+        let clock = Arc::clone(&shared.clock);
+        Ok(UpstreamDesk::new(upstream, &entry.address, admission, clock))
+    }
+
+    /// Sets the leases, which change more often than the rest.
+    pub fn set_leases<'a>(
+        &self,
+        leases: impl Iterator<Item = (&'a UpstreamId, Epoch, Option<Moment>)>,
+    ) {
+        let desks = self.shared.desks.load();
+        for (id, epoch, usable_until) in leases {
+            if let Some(desk) = desks.get(id) {
+                desk.lease.set(epoch, usable_until);
+            }
+        }
+    }
+
+    /// Notes that an upstream has started anew.
+    pub fn note_restart(&self, id: &UpstreamId) {
+        if let Some(desk) = self.desk(id) {
+            desk.note_restart();
+        }
+    }
+
+    /// Returns the expected waits of standard work, in milliseconds.
+    pub fn waits_ms(&self) -> IndexMap<UpstreamId, u32> {
+        let desks = self.shared.desks.load();
+        let waits = desks.iter().map(|(id, desk)| {
+            let wait = desk.expected_wait(Rank::Standard);
+            (id.clone(), wait.as_millis().min(u128::from(u32::MAX)) as u32)
+        });
+        waits.collect()
+    }
+
+    /// Takes the loads since the last call, `span` ago.
+    pub fn take_loads(&self, span: Duration) -> Vec<ShardLoad> {
+        let span_us = span.as_micros().max(1) as u64;
+        let mut loads = Vec::new();
+        for (id, desk) in self.shared.desks.load().iter() {
+            for load in desk.take_loads() {
+                loads.push(ShardLoad {
+                    upstream: id.clone(),
+                    shard: load.shard,
+                    slot_ms: (load.slot_us * 1_000 / span_us) as u32,
+                });
+            }
+        }
+        loads
+    }
+
+    /// Returns the suspects to tell other hosts of.
+    pub fn suspects(&self) -> Vec<Suspect> {
+        let now = self.shared.clock.now();
+        let quarantine = self.shared.quarantine.lock();
+        let suspects = quarantine.iter(now).map(|(fingerprint, losses, left)| Suspect {
+            fingerprint,
+            losses,
+            remaining_ms: left.as_millis() as u32,
+        });
+        suspects.collect()
+    }
+
+    /// Takes in the suspects that another host told of.
+    pub fn merge_suspects(&self, suspects: &[Suspect]) {
+        if suspects.is_empty() {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let mut quarantine = self.shared.quarantine.lock();
+        for suspect in suspects {
+            let left = Duration::from_millis(u64::from(suspect.remaining_ms));
+            quarantine.merge(now, suspect.fingerprint, suspect.losses, left);
+        }
+    }
+
+    /// Returns running and queued requests over all desks.
+    pub fn occupancy(&self) -> (u32, usize) {
+        let mut total = (0, 0);
+        for desk in self.shared.desks.load().values() {
+            let (running, queued) = desk.occupancy();
+            total.0 += running;
+            total.1 += queued;
+        }
+        total
+    }
+
+    pub(crate) fn desk(&self, id: &UpstreamId) -> Option<Arc<UpstreamDesk>> {
+        self.shared.desks.load().get(id).cloned()
+    }
+}
+
+fn plan_of(sheet: Option<&Sheet>, entry: &UpstreamEntry) -> AdmissionPlan {
+    let Some(sheet) = sheet else {
+        return AdmissionPlan::with_slots(entry.slots);
+    };
+    match sheet.services.get(&entry.service) {
+        Some(plan) => AdmissionPlan::from_sheet(sheet, plan, entry.slots),
+        None => AdmissionPlan::with_slots(entry.slots),
+    }
+}
--- /dev/null
+++ b/crates/gate/src/exchange.rs
@@ -0,0 +1,323 @@
+//! One exchange with an upstream, from the last check to the body's end.
+
+use crate::answer::{Answer, AnswerBody, BodyStream, WHOLE_BELOW_BYTES, is_hop_header};
+use crate::desk::{SlotGuard, UpstreamDesk};
+use crate::limits::GateLimits;
+use crate::order::WorkOrder;
+use crate::pool::PooledConnection;
+use async_std::future::timeout;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use h1::{BodyLength, BodyReader, HeadLimits, HeaderList, ResponseHead, encode_request_head};
+use kernel::{Cause, Clock, Epoch, Moment, Refusal};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A kept connection idle for longer is proved before a charge goes out on it.
+const PROVE_IDLE_AFTER: Duration = Duration::from_millis(300);
+const PROVE_LIMIT: Duration = Duration::from_millis(150);
+const BODY_STALL_LIMIT: Duration = Duration::from_secs(10);
+const WRITE_LIMIT: Duration = Duration::from_secs(5);
+/// Idempotent work waits this many times its expected slot time for a head
+/// before its connection is suspected.
+const PATIENCE_FACTOR: u32 = 8;
+
+/// Exchanges requests with upstreams.
+#[derive(Clone, Debug)]
+pub(crate) struct Exchanger {
+    pub clock: Arc<dyn Clock>,
+    pub limits: GateLimits,
+}
+
+/// Tells the upstream to stop unless the exchange has ended.
+#[derive(Debug)]
+struct CancelGuard {
+    desk: Arc<UpstreamDesk>,
+    request: String,
+    clock: Arc<dyn Clock>,
+    is_armed: bool,
+}
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        if !self.is_armed {
+            return;
+        }
+        let (desk, request) = (Arc::clone(&self.desk), std::mem::take(&mut self.request));
+        let now = self.clock.now();
+        async_std::task::spawn(async move {
+            let sending = post_cancel(&desk, now, &request);
+            // The upstream runs on to the end if it does not hear of it.
+            let _best_effort = timeout(PROVE_LIMIT, sending).await;
+        });
+    }
+}
+
+async fn post_cancel(desk: &UpstreamDesk, now: Moment, request: &str) -> h1::Result<()> {
+    let mut pooled = desk.pool.connect(now).await?;
+    let mut headers = HeaderList::new();
+    headers.push("host", "upstream");
+    headers.push("content-length", request.len().to_string());
+    let mut bytes = encode_request_head("POST", "/control/cancel", &headers);
+    bytes.extend_from_slice(request.as_bytes());
+    pooled.connection.write(&bytes).await
+}
+
+impl Exchanger {
+    /// Sends a request that holds a slot and returns its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails with a cause that says whether the request may have run.
+    pub async fn exchange(&self, slot: SlotGuard, order: &WorkOrder) -> Result<Answer, Refusal> {
+        let desk = Arc::clone(slot.desk());
+        desk.check(self.clock.now(), order.shard)?;
+        let mut pooled = self.connection(&desk, order).await?;
+        // Time has passed while connecting, so the lease is checked again.
+        let now = self.clock.now();
+        let epoch = desk.check(now, order.shard)?;
+        if now >= order.deadline {
+            return Err(Cause::DeadlineUnreachable.into());
+        }
+        let mut guard = CancelGuard {
+            desk: Arc::clone(&desk),
+            request: order.request.as_str().to_owned(),
+            clock: Arc::clone(&self.clock),
+            is_armed: true,
+        };
+        let bytes = encode_order(order, epoch, order.deadline - now);
+        let written = timeout(WRITE_LIMIT, pooled.connection.write(&bytes)).await;
+        if !matches!(written, Ok(Ok(()))) {
+            return Err(Cause::UpstreamLost.into());
+        }
+        let head = self.read_head(&desk, order, &mut pooled).await?;
+        self.judge_head(&desk, order, &head, &mut guard)?;
+        desk.note_success();
+        let body = self.read_body(&desk, order, &head, pooled, slot, guard).await?;
+        Ok(Answer {
+            status: head.status,
+            headers: end_to_end(&head.headers),
+            body,
+            wait: desk.expected_wait(order.rank),
+        })
+    }
+
+    /// Takes a connection; charges get one that has lately proved to work.
+    async fn connection(
+        &self,
+        desk: &UpstreamDesk,
+        order: &WorkOrder,
+    ) -> Result<PooledConnection, Refusal> {
+        let unreachable = |_io: std::io::Error| Refusal::new(Cause::UpstreamUnreachable);
+        let now = self.clock.now();
+        let mut pooled = desk.pool.take(now).await.map_err(unreachable)?;
+        let is_stale = !pooled.is_fresh && now - pooled.proved_at > PROVE_IDLE_AFTER;
+        if order.is_idempotent || !is_stale {
+            return Ok(pooled);
+        }
+        if timeout(PROVE_LIMIT, prove(&mut pooled)).await == Ok(true) {
+            return Ok(pooled);
+        }
+        // One connection lost track of makes its neighbours suspect as well.
+        desk.pool.clear();
+        let now = self.clock.now();
+        desk.pool.connect(now).await.map_err(unreachable)
+    }
+
+    /// Reads the answer's head, probing the upstream when it takes too long.
+    async fn read_head(
+        &self,
+        desk: &Arc<UpstreamDesk>,
+        order: &WorkOrder,
+        pooled: &mut PooledConnection,
+    ) -> Result<ResponseHead, Refusal> {
+        let limits = HeadLimits::default();
+        let mut reading = pooled
+            .connection
+            .read_response(&limits, &order.method)
+            .boxed();
+        let patience = Duration::from_millis(self.limits.probe_ms)
+            .max(desk.expected_cost(order) * PATIENCE_FACTOR);
+        loop {
+            let left = order.deadline - self.clock.now();
+            if left.is_zero() {
+                return Err(Cause::UpstreamTimeout.into());
+            }
+            let step = if order.is_idempotent { left.min(patience) } else { left };
+            match timeout(step, &mut reading).await {
+                Ok(Ok(head)) => return Ok(head),
+                Ok(Err(h1::Error::Malformed(_) | h1::Error::HeadTooLarge)) => {
+                    return Err(Cause::AnswerInvalid.into());
+                }
+                Ok(Err(_)) => return Err(Cause::UpstreamLost.into()),
+                Err(_elapsed) if step == left => return Err(Cause::UpstreamTimeout.into()),
+                Err(_elapsed) => {}
+            }
+            if self.works_on_new_connection(desk).await {
+                desk.pool.clear();
+                return Err(Cause::ConnectionSilent.into());
+            }
+        }
+    }
+
+    async fn works_on_new_connection(&self, desk: &UpstreamDesk) -> bool {
+        let Ok(mut probe) = desk.pool.connect(self.clock.now()).await else {
+            return false;
+        };
+        timeout(PROVE_LIMIT, prove(&mut probe)).await == Ok(true)
+    }
+
+    /// Checks that the answer is to this request and that the request ran.
+    fn judge_head(
+        &self,
+        desk: &UpstreamDesk,
+        order: &WorkOrder,
+        head: &ResponseHead,
+        guard: &mut CancelGuard,
+    ) -> Result<(), Refusal> {
+        if head.headers.get("x-request-id") != Some(order.request.as_str()) {
+            return Err(Cause::AnswerInvalid.into());
+        }
+        guard.is_armed = false;
+        let Some(reason) = head.headers.get("x-not-run") else {
+            return Ok(());
+        };
+        if reason == "shed" {
+            desk.note_refusal();
+            return Err(Cause::UpstreamRefused.into());
+        }
+        // The upstream's word on leases is newer than the own.
+        Err(Cause::LeaseLapsed.into())
+    }
+
+    async fn read_body(
+        &self,
+        desk: &Arc<UpstreamDesk>,
+        order: &WorkOrder,
+        head: &ResponseHead,
+        pooled: PooledConnection,
+        slot: SlotGuard,
+        mut guard: CancelGuard,
+    ) -> Result<AnswerBody, Refusal> {
+        guard.is_armed = true;
+        let length = match head.body {
+            BodyLength::Fixed(length) => Some(length),
+            BodyLength::Chunked => None,
+            // Its end can't be told from a cut.
+            BodyLength::UntilClose => return Err(Cause::AnswerInvalid.into()),
+        };
+        let mut stream = UpstreamBody {
+            desk: Arc::clone(desk),
+            clock: Arc::clone(&self.clock),
+            reader: BodyReader::new(head.body),
+            pooled: Some(pooled),
+            keeps_alive: head.keeps_alive,
+            slot: Some(slot),
+            guard,
+        };
+        if length.is_none_or(|length| length > WHOLE_BELOW_BYTES) {
+            return Ok(AnswerBody::Stream(length, Box::new(stream)));
+        }
+        let left = order.deadline - self.clock.now();
+        match timeout(left, read_whole(&mut stream)).await {
+            Ok(Ok(body)) => Ok(AnswerBody::Whole(body)),
+            Ok(Err(_cut)) => Err(Cause::AnswerInvalid.into()),
+            Err(_elapsed) => Err(Cause::UpstreamTimeout.into()),
+        }
+    }
+}
+
+/// Reads a stream to its end.
+pub(crate) async fn read_whole(stream: &mut dyn BodyStream) -> h1::Result<Vec<u8>> {
+    let mut body = Vec::new();
+    while let Some(part) = stream.next().await? {
+        body.extend_from_slice(&part);
+    }
+    Ok(body)
+}
+
+/// An upstream's body; holds the slot until its end.
+struct UpstreamBody {
+    desk: Arc<UpstreamDesk>,
+    clock: Arc<dyn Clock>,
+    reader: BodyReader,
+    pooled: Option<PooledConnection>,
+    keeps_alive: bool,
+    slot: Option<SlotGuard>,
+    guard: CancelGuard,
+}
+
+impl UpstreamBody {
+    /// Gives slot and connection back after the last part.
+    fn finish(&mut self) {
+        self.guard.is_armed = false;
+        self.slot = None;
+        let Some(pooled) = self.pooled.take() else {
+            return;
+        };
+        // Bytes beyond the answer mean that the connection is out of step.
+        if self.keeps_alive && !pooled.connection.has_leftover() {
+            self.desk.pool.keep(self.clock.now(), pooled);
+        }
+    }
+}
+
+impl BodyStream for UpstreamBody {
+    fn next(&mut self) -> BoxFuture<'_, h1::Result<Option<Vec<u8>>>> {
+        async move {
+            let Some(pooled) = &mut self.pooled else {
+                return Ok(None);
+            };
+            let reading = self.reader.next(&mut pooled.connection);
+            let part = timeout(BODY_STALL_LIMIT, reading)
+                .await
+                .map_err(|_elapsed| h1::Error::Truncated)??;
+            if self.reader.is_done() {
+                self.finish();
+            }
+            Ok(part)
+        }
+        .boxed()
+    }
+}
+
+/// Asks for the upstream's health on a connection.
+async fn prove(pooled: &mut PooledConnection) -> bool {
+    let mut headers = HeaderList::new();
+    headers.push("host", "upstream");
+    let bytes = encode_request_head("GET", "/health", &headers);
+    if pooled.connection.write(&bytes).await.is_err() {
+        return false;
+    }
+    let limits = HeadLimits::default();
+    let Ok(head) = pooled.connection.read_response(&limits, "GET").await else {
+        return false;
+    };
+    let body = pooled
+        .connection
+        .read_whole_body(head.body, WHOLE_BELOW_BYTES);
+    head.status == 200 && body.await.is_ok() && !pooled.connection.has_leftover()
+}
+
+fn encode_order(order: &WorkOrder, epoch: Epoch, left: Duration) -> Vec<u8> {
+    let mut headers = order.headers.clone();
+    headers.push("host", "upstream");
+    headers.push("content-length", order.body.len().to_string());
+    headers.push("x-request-id", order.request.as_str());
+    headers.push("x-customer", order.customer.as_str());
+    headers.push("x-primary-epoch", epoch.to_string());
+    if let Some((shard, shard_epoch)) = order.shard {
+        headers.push("x-shard", shard.to_string());
+        headers.push("x-shard-epoch", shard_epoch.to_string());
+    }
+    headers.push("x-deadline-ms", left.as_millis().to_string());
+    let mut bytes = encode_request_head(&order.method, &order.target, &headers);
+    bytes.extend_from_slice(&order.body);
+    bytes
+}
+
+fn end_to_end(headers: &HeaderList) -> HeaderList {
+    let mut kept = headers.clone();
+    kept.remove_where(|name| is_hop_header(name) || name == "x-request-id");
+    kept
+}
--- /dev/null
+++ b/crates/gate/src/forward.rs
@@ -0,0 +1,183 @@
+//! The near end of the peer link: a request goes to another host.
+
+use crate::answer::{Answer, AnswerBody, BodyStream, WHOLE_BELOW_BYTES, is_hop_header};
+use crate::exchange::read_whole;
+use crate::order::WorkOrder;
+use crate::pool::{ConnectionPool, PooledConnection};
+use async_std::future::timeout;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use h1::{BodyLength, BodyReader, HeadLimits, ResponseHead, encode_request_head};
+use indexmap::IndexMap;
+use kernel::{Cause, Clock, Refusal};
+use parking_lot::RwLock;
+use std::sync::Arc;
+use std::time::Duration;
+
+const CONNECT_LIMIT: Duration = Duration::from_millis(150);
+/// Time beyond the deadline for the primary's own refusal to arrive.
+const GRACE: Duration = Duration::from_millis(100);
+const WATCH_PERIOD: Duration = Duration::from_millis(40);
+const BODY_STALL_LIMIT: Duration = Duration::from_secs(12);
+
+/// Forwards requests to primaries on other hosts.
+#[derive(Debug)]
+pub(crate) struct PeerForwarder {
+    clock: Arc<dyn Clock>,
+    secret: String,
+    pools: RwLock<IndexMap<String, Arc<ConnectionPool>>>,
+}
+
+impl PeerForwarder {
+    pub fn new(clock: Arc<dyn Clock>, secret: &str) -> Self {
+        Self {
+            clock,
+            secret: secret.to_owned(),
+            pools: RwLock::new(IndexMap::new()),
+        }
+    }
+
+    /// Forwards a request and returns its answer.
+    ///
+    /// `is_given_up` is asked now and then while nothing has come back.
+    pub async fn forward(
+        &self,
+        address: &str,
+        order: &WorkOrder,
+        is_given_up: impl Fn() -> bool,
+    ) -> Result<Answer, Refusal> {
+        let pool = self.pool(address);
+        let now = self.clock.now();
+        let taken = pool.take(now).await;
+        let mut pooled = taken.map_err(|_io| Refusal::new(Cause::PrimaryUnreachable))?;
+        let now = self.clock.now();
+        let headers = order.peer_headers(now, &self.secret);
+        let mut bytes = encode_request_head(&order.method, &order.target, &headers);
+        bytes.extend_from_slice(&order.body);
+        if pooled.connection.write(&bytes).await.is_err() {
+            return Err(Cause::PrimaryLost.into());
+        }
+        let head = self.read_head(&mut pooled, order, is_given_up).await?;
+        let refusal = refusal_in(&head);
+        let wait = Duration::from_micros(head.headers.get_number("trestle-wait-us").unwrap_or(0));
+        let body = self.read_body(&pool, pooled, &head, order).await?;
+        if let Some(refusal) = refusal {
+            return Err(refusal);
+        }
+        let mut headers = head.headers;
+        headers.remove_where(|name| is_hop_header(name) || name.starts_with("trestle-"));
+        Ok(Answer {
+            status: head.status,
+            headers,
+            body,
+            wait,
+        })
+    }
+
+    async fn read_head(
+        &self,
+        pooled: &mut PooledConnection,
+        order: &WorkOrder,
+        is_given_up: impl Fn() -> bool,
+    ) -> Result<ResponseHead, Refusal> {
+        let limits = HeadLimits::default();
+        let mut reading = pooled
+            .connection
+            .read_response(&limits, &order.method)
+            .boxed();
+        let end = order.deadline + GRACE;
+        loop {
+            let left = end - self.clock.now();
+            if left.is_zero() {
+                return Err(Cause::UpstreamTimeout.into());
+            }
+            match timeout(left.min(WATCH_PERIOD), &mut reading).await {
+                Ok(Ok(head)) => return Ok(head),
+                Ok(Err(_)) => return Err(Cause::PrimaryLost.into()),
+                Err(_elapsed) if is_given_up() => return Err(Cause::PrimaryLost.into()),
+                Err(_elapsed) => {}
+            }
+        }
+    }
+
+    async fn read_body(
+        &self,
+        pool: &Arc<ConnectionPool>,
+        pooled: PooledConnection,
+        head: &ResponseHead,
+        order: &WorkOrder,
+    ) -> Result<AnswerBody, Refusal> {
+        let length = match head.body {
+            BodyLength::Fixed(length) => Some(length),
+            BodyLength::Chunked => None,
+            BodyLength::UntilClose => return Err(Cause::AnswerInvalid.into()),
+        };
+        let mut stream = PeerBody {
+            pool: Arc::clone(pool),
+            clock: Arc::clone(&self.clock),
+            reader: BodyReader::new(head.body),
+            pooled: Some(pooled),
+            keeps_alive: head.keeps_alive,
+        };
+        if length.is_none_or(|length| length > WHOLE_BELOW_BYTES) {
+            return Ok(AnswerBody::Stream(length, Box::new(stream)));
+        }
+        let left = order.deadline + GRACE - self.clock.now();
+        match timeout(left, read_whole(&mut stream)).await {
+            Ok(Ok(body)) => Ok(AnswerBody::Whole(body)),
+            Ok(Err(_)) | Err(_) => Err(Cause::PrimaryLost.into()),
+        }
+    }
+
+    fn pool(&self, address: &str) -> Arc<ConnectionPool> {
+        if let Some(pool) = self.pools.read().get(address) {
+            return Arc::clone(pool);
+        }
+        let mut pools = self.pools.write();
+        let pool = pools
+            .entry(address.to_owned())
+            .or_insert_with(|| Arc::new(ConnectionPool::new(address, CONNECT_LIMIT)));
+        Arc::clone(pool)
+    }
+}
+
+/// Returns the refusal that a peer's answer carries, if it is one.
+fn refusal_in(head: &ResponseHead) -> Option<Refusal> {
+    let cause = Cause::parse(head.headers.get("trestle-cause")?);
+    let mut refusal = Refusal::new(cause.unwrap_or(Cause::PrimaryLost));
+    let retry_ms = head.headers.get_number("trestle-retry-ms");
+    refusal.retry_after = retry_ms.map(Duration::from_millis);
+    Some(refusal)
+}
+
+/// A body on its way from another host.
+struct PeerBody {
+    pool: Arc<ConnectionPool>,
+    clock: Arc<dyn Clock>,
+    reader: BodyReader,
+    pooled: Option<PooledConnection>,
+    keeps_alive: bool,
+}
+
+impl BodyStream for PeerBody {
+    fn next(&mut self) -> BoxFuture<'_, h1::Result<Option<Vec<u8>>>> {
+        async move {
+            let Some(pooled) = &mut self.pooled else {
+                return Ok(None);
+            };
+            let reading = self.reader.next(&mut pooled.connection);
+            let part = timeout(BODY_STALL_LIMIT, reading)
+                .await
+                .map_err(|_elapsed| h1::Error::Truncated)??;
+            if self.reader.is_done()
+                && let Some(pooled) = self.pooled.take()
+                && self.keeps_alive
+                && !pooled.connection.has_leftover()
+            {
+                self.pool.keep(self.clock.now(), pooled);
+            }
+            Ok(part)
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/crates/h1/src/connection.rs
@@ -0,0 +1,227 @@
+//! A buffered connection that reads messages.
+
+use crate::head::{parse_request, parse_response};
+use crate::{BodyLength, BodyReader, Error, HeadLimits, RequestHead, ResponseHead, Result};
+use futures::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use std::fmt;
+
+const READ_BYTES: usize = 16 << 10;
+const MAX_PART_BYTES: u64 = 64 << 10;
+
+/// A connection with the bytes that were read ahead.
+pub struct Connection<S> {
+    stream: S,
+    buffer: Vec<u8>,
+    start: usize,
+}
+
+impl<S> fmt::Debug for Connection<S> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Connection")
+            .field("buffered", &(self.buffer.len() - self.start))
+            .finish_non_exhaustive()
+    }
+}
+
+impl<S> Connection<S> {
+    /// Wraps a stream.
+    pub const fn new(stream: S) -> Self {
+        Self {
+            stream,
+            buffer: Vec::new(),
+            start: 0,
+        }
+    }
+
+    /// Returns the stream.
+    pub const fn stream(&self) -> &S {
+        &self.stream
+    }
+
+    /// Returns whether bytes have been read that no message has taken.
+    ///
+    /// After a response this means that the peer sent more than was asked for.
+    pub fn has_leftover(&self) -> bool {
+        self.start < self.buffer.len()
+    }
+
+    fn buffered(&self) -> &[u8] {
+        &self.buffer[self.start..]
+    }
+
+    fn consume(&mut self, bytes: usize) {
+        self.start += bytes;
+        if self.start == self.buffer.len() {
+            self.buffer.clear();
+            self.start = 0;
+        }
+    }
+}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> Connection<S> {
+    /// Reads a request's head; `None` when the peer closed between requests.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the head is malformed, ambiguous, too large or cut short.
+    pub async fn read_request(&mut self, limits: &HeadLimits) -> Result<Option<RequestHead>> {
+        let Some(end) = self.read_head_bytes(limits).await? else {
+            return Ok(None);
+        };
+        let head = parse_request(&self.buffered()[..end], limits);
+        self.consume(end);
+        head.map(Some)
+    }
+
+    /// Reads the head of the response to a request of method `method`.
+    ///
+    /// Interim responses (1xx) are skipped.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the head is malformed, ambiguous, too large or cut short.
+    pub async fn read_response(&mut self, limits: &HeadLimits, method: &str) -> Result<ResponseHead> {
+        loop {
+            let Some(end) = self.read_head_bytes(limits).await? else {
+                return Err(Error::Truncated);
+            };
+            let head = parse_response(&self.buffered()[..end], limits, method);
+            self.consume(end);
+            let head = head?;
+            if (100..200).contains(&head.status) {
+                continue;
+            }
+            return Ok(head);
+        }
+    }
+
+    /// Reads a whole body of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body is cut short, malformed or too large.
+    pub async fn read_whole_body(&mut self, length: BodyLength, limit: u64) -> Result<Vec<u8>> {
+        if let BodyLength::Fixed(bytes) = length
+            && bytes > limit
+        {
+            return Err(Error::BodyTooLarge);
+        }
+        let mut reader = BodyReader::new(length);
+        let mut body = Vec::new();
+        while let Some(part) = reader.next(self).await? {
+            if (body.len() + part.len()) as u64 > limit {
+                return Err(Error::BodyTooLarge);
+            }
+            body.extend_from_slice(&part);
+        }
+        Ok(body)
+    }
+
+    /// Writes bytes and flushes them.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection fails.
+    pub async fn write(&mut self, bytes: &[u8]) -> Result<()> {
+        self.stream.write_all(bytes).await?;
+        self.stream.flush().await?;
+        Ok(())
+    }
+
+    /// Reads between one and `most` bytes of a body.
+    pub(crate) async fn take(&mut self, most: u64) -> Result<Vec<u8>> {
+        if !self.has_leftover() && !self.fill().await? {
+            return Err(Error::Truncated);
+        }
+        let available = self.buffered().len() as u64;
+        let bytes = available.min(most).min(MAX_PART_BYTES) as usize;
+        let part = self.buffered()[..bytes].to_vec();
+        self.consume(bytes);
+        Ok(part)
+    }
+
+    /// Reads some bytes; none at the connection's end.
+    pub(crate) async fn take_until_close(&mut self) -> Result<Vec<u8>> {
+        if !self.has_leftover() && !self.fill().await? {
+            return Ok(Vec::new());
+        }
+        let part = self.buffered().to_vec();
+        self.consume(part.len());
+        Ok(part)
+    }
+
+    /// Reads a line without its end.
+    pub(crate) async fn read_line(&mut self, limit: usize) -> Result<String> {
+        let mut scanned = 0;
+        loop {
+            let bytes = self.buffered();
+            if let Some(at) = bytes[scanned..].iter().position(|b| *b == b'\n') {
+                let end = scanned + at;
+                let line = bytes[..end].strip_suffix(b"\r");
+                let line = line.ok_or(Error::Malformed("line end"))?;
+                let text = std::str::from_utf8(line).map_err(|_utf8| Error::Malformed("line"))?;
+                let text = text.to_owned();
+                self.consume(end + 1);
+                return Ok(text);
+            }
+            scanned = bytes.len();
+            if scanned > limit {
+                return Err(Error::Malformed("line too long"));
+            }
+            if !self.fill().await? {
+                return Err(Error::Truncated);
+            }
+        }
+    }
+
+    /// Fills the buffer up to a head's end and returns where that is.
+    async fn read_head_bytes(&mut self, limits: &HeadLimits) -> Result<Option<usize>> {
+        let mut scanned = 0;
+        loop {
+            if scanned == 0 {
+                self.skip_empty_lines();
+            }
+            if let Some(end) = find_head_end(self.buffered(), scanned) {
+                if end > limits.bytes {
+                    return Err(Error::HeadTooLarge);
+                }
+                return Ok(Some(end));
+            }
+            scanned = self.buffered().len();
+            if scanned > limits.bytes {
+                return Err(Error::HeadTooLarge);
+            }
+            if !self.fill().await? {
+                if scanned == 0 {
+                    return Ok(None);
+                }
+                return Err(Error::Truncated);
+            }
+        }
+    }
+
+    fn skip_empty_lines(&mut self) {
+        while self.buffered().starts_with(b"\r\n") {
+            self.consume(2);
+        }
+    }
+
+    async fn fill(&mut self) -> Result<bool> {
+        if self.start > 0 {
+            self.buffer.drain(..self.start);
+            self.start = 0;
+        }
+        let filled = self.buffer.len();
+        self.buffer.resize(filled + READ_BYTES, 0);
+        let read = self.stream.read(&mut self.buffer[filled..]).await;
+        let bytes = read.as_ref().map_or(0, |bytes| *bytes);
+        self.buffer.truncate(filled + bytes);
+        Ok(read? > 0)
+    }
+}
+
+fn find_head_end(bytes: &[u8], scanned: usize) -> Option<usize> {
+    let from = scanned.saturating_sub(3);
+    let at = bytes[from..].windows(4).position(|w| w == b"\r\n\r\n")?;
+    Some(from + at + 4)
+}
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -1,1 +1,32 @@
-//! Placeholder.
+//! HTTP/1.1 heads and bodies with exact framing.
+//!
+//! A router must never take a part for the whole. This crate reads heads with
+//! `httparse` and adds the checks on framing that decide where a message ends:
+//! a body cut short is an error, never an end of body, and heads whose length
+//! is ambiguous are refused.
+//!
+//! ```
+//! use h1::{BodyLength, Connection, HeadLimits};
+//! use futures::io::Cursor;
+//!
+//! async_std::task::block_on(async {
+//!     let bytes = b"POST /pay HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nhalf".to_vec();
+//!     let mut connection = Connection::new(Cursor::new(bytes));
+//!     let head = connection.read_request(&HeadLimits::default()).await.unwrap().unwrap();
+//!     assert_eq!(head.body, BodyLength::Fixed(9));
+//!     let body = connection.read_whole_body(head.body, 1024).await;
+//!     assert!(matches!(body, Err(h1::Error::Truncated)));
+//! });
+//! ```
+
+mod body;
+mod connection;
+mod error;
+mod head;
+mod write;
+
+pub use body::{BodyLength, BodyReader};
+pub use connection::Connection;
+pub use error::{Error, Result};
+pub use head::{HeadLimits, HeaderList, RequestHead, ResponseHead};
+pub use write::{encode_request_head, encode_response_head, reason_phrase};
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod id;
 mod plugin;
+mod scope;
 mod time;
 mod timer;
 mod verdict;
@@ -25,6 +26,7 @@
     CustomerName, DomainName, Epoch, HostId, RequestId, ServiceName, ShardId, UpstreamId, Version,
 };
 pub use plugin::{Named, UnknownPlugin, find_plugin, inventory};
+pub use scope::TaskScope;
 pub use time::{Clock, ManualClock, Moment, SystemClock};
 pub use timer::{TimerService, TimerSubscription};
 pub use verdict::{Cause, Refusal, Verdict};
--- /dev/null
+++ b/crates/retry/src/budget.rs
@@ -0,0 +1,34 @@
+//! A bound on retries as a share of first tries.
+
+/// A token bucket that first tries fill and retries empty.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryBudget {
+    share: f64,
+    most: f64,
+    tokens: f64,
+}
+
+impl RetryBudget {
+    /// Starts full; `share` retries are earned by each first try, up to `most`.
+    pub const fn new(share: f64, most: f64) -> Self {
+        Self {
+            share,
+            most,
+            tokens: most,
+        }
+    }
+
+    /// Notes a first try.
+    pub fn note_first_try(&mut self) {
+        self.tokens = (self.tokens + self.share).min(self.most);
+    }
+
+    /// Takes one retry out of the budget; `false` when it is spent.
+    pub fn try_spend(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,25 @@
-//! Placeholder.
+//! Look-up from a request to its service, kind, key, shard and owner.
+//!
+//! A [`RouteTable`] is compiled from a sheet; an [`OwnerTable`] from rows. Both
+//! are immutable and read without a lock.
+//!
+//! ```
+//! use route::RouteTable;
+//!
+//! let sheet = sheet::Sheet::parse(r#"{ "services": { "mapview": {
+//!   "keys": { "shards": 16 },
+//!   "kinds": [{ "name": "chart", "method": "GET", "path": "/charts/{region}",
+//!     "key": { "path": "region" }, "rank": "urgent", "idempotent": true,
+//!     "timeout_ms": 500, "cost_ms": 5 }] } } }"#).unwrap();
+//! let table = RouteTable::compile(&sheet);
+//! let matched = table.find("GET", "/mapview/charts/golfo?zoom=3").unwrap();
+//! let key = matched.key("/mapview/charts/golfo?zoom=3", |_| None).unwrap();
+//! assert_eq!(key, Some("golfo"));
+//! assert!(matched.shard("golfo").unwrap().0 < 16);
+//! ```
+
+mod owners;
+mod rules;
+
+pub use owners::{OwnerTable, PrimaryAddress, ShardSlot, UpstreamSlot};
+pub use rules::{KindRoute, RouteTable, ServiceRoute};
--- /dev/null
+++ b/crates/route/src/owners.rs
@@ -0,0 +1,143 @@
+//! Owners of shards and primaries of upstreams, as traffic sees them.
+
+use indexmap::IndexMap;
+use kernel::{DomainName, Epoch, HostId, ServiceName, ShardId, UpstreamId};
+use owner::{DomainRow, ShardOwner, UpstreamState};
+use xxhash_rust::xxh3::Xxh3DefaultBuilder;
+
+/// A host that is the primary of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PrimaryAddress {
+    /// The host.
+    pub host: HostId,
+    /// `ip:port` for forwarded requests; absent when it is unknown.
+    pub peer: Option<String>,
+}
+
+/// One upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamSlot {
+    /// Its id.
+    pub id: UpstreamId,
+    /// Its service.
+    pub service: ServiceName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Its address.
+    pub address: String,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Connections that it accepts.
+    pub connections: u32,
+    /// Its primary.
+    pub primary: PrimaryAddress,
+    /// Whether it takes new work.
+    pub is_leaving: bool,
+    /// Whether its failure domain can't be reached.
+    pub is_unreachable: bool,
+}
+
+/// The owner of one shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ShardSlot {
+    /// Position of the owner among the upstreams.
+    pub upstream: u32,
+    /// The epoch of the assignment.
+    pub epoch: Epoch,
+}
+
+/// Owners of all shards and primaries of all upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct OwnerTable {
+    upstreams: IndexMap<UpstreamId, UpstreamSlot, Xxh3DefaultBuilder>,
+    services: IndexMap<ServiceName, ServiceOwners, Xxh3DefaultBuilder>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ServiceOwners {
+    shards: Vec<Option<ShardSlot>>,
+    instances: Vec<u32>,
+}
+
+impl OwnerTable {
+    /// Builds the table from rows.
+    pub fn build<'a>(
+        domains: impl Iterator<Item = (&'a DomainName, &'a DomainRow, bool)>,
+        owners: &IndexMap<ServiceName, IndexMap<ShardId, ShardOwner>>,
+    ) -> Self {
+        let mut table = Self::default();
+        for (domain, row, is_unreachable) in domains {
+            table.add_domain(domain, row, is_unreachable);
+        }
+        for (service, shards) in owners {
+            table.add_shards(service, shards);
+        }
+        table
+    }
+
+    /// Returns the owner of a shard and the assignment's epoch.
+    pub fn owner(&self, service: &ServiceName, shard: ShardId) -> Option<(&UpstreamSlot, Epoch)> {
+        let owners = self.services.get(service)?;
+        let slot = owners.shards.get(shard.0 as usize)?.as_ref()?;
+        let (_, upstream) = self.upstreams.get_index(slot.upstream as usize)?;
+        Some((upstream, slot.epoch))
+    }
+
+    /// Iterates over a service's instances.
+    pub fn instances(&self, service: &ServiceName) -> impl Iterator<Item = &UpstreamSlot> {
+        let owners = self.services.get(service).into_iter();
+        owners
+            .flat_map(|owners| &owners.instances)
+            .filter_map(|index| Some(self.upstreams.get_index(*index as usize)?.1))
+    }
+
+    /// Returns an upstream by id.
+    pub fn upstream(&self, id: &UpstreamId) -> Option<&UpstreamSlot> {
+        self.upstreams.get(id)
+    }
+
+    /// Iterates over all upstreams.
+    pub fn upstreams(&self) -> impl Iterator<Item = &UpstreamSlot> {
+        self.upstreams.values()
+    }
+
+    fn add_domain(&mut self, domain: &DomainName, row: &DomainRow, is_unreachable: bool) {
+        for (id, entry) in &row.upstreams {
+            let address = row.hosts.get(&entry.primary);
+            let slot = UpstreamSlot {
+                id: id.clone(),
+                service: entry.service.clone(),
+                domain: domain.clone(),
+                address: entry.address.clone(),
+                slots: entry.slots,
+                connections: entry.connections,
+                primary: PrimaryAddress {
+                    host: entry.primary.clone(),
+                    peer: address.map(|address| address.peer.clone()),
+                },
+                is_leaving: entry.state == UpstreamState::Leaving,
+                is_unreachable,
+            };
+            let (index, _) = self.upstreams.insert_full(id.clone(), slot);
+            let owners = self.services.entry(entry.service.clone()).or_default();
+            owners.instances.push(index as u32);
+        }
+    }
+
+    fn add_shards(&mut self, service: &ServiceName, shards: &IndexMap<ShardId, ShardOwner>) {
+        let owners = self.services.entry(service.clone()).or_default();
+        for (shard, owner) in shards {
+            let Some(index) = self.upstreams.get_index_of(&owner.upstream) else {
+                continue;
+            };
+            let position = shard.0 as usize;
+            if owners.shards.len() <= position {
+                owners.shards.resize(position + 1, None);
+            }
+            owners.shards[position] = Some(ShardSlot {
+                upstream: index as u32,
+                epoch: owner.epoch,
+            });
+        }
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,1 +1,27 @@
-//! Placeholder.
+//! The platform's services as traits, with an HTTP client.
+//!
+//! What must be agreed or kept goes through [`TableStore`] and [`ObjectStore`];
+//! [`HostLister`] is a lagging hint. A commit whose answer was lost is reported
+//! as [`CommitError::Unknown`], never as a failure.
+//!
+//! ```
+//! use store::{StoreRow, StoreTransaction};
+//!
+//! let mut transaction = StoreTransaction::default();
+//! transaction.check("domain/a", 3);
+//! transaction.write("assign/mapview/a", 7, serde_json::json!({ "shards": [] }));
+//! assert_eq!(transaction.checks.len(), 2);
+//! let row = StoreRow { key: "config".into(), version: 1, value: serde_json::Value::Null };
+//! assert_eq!(row.version, 1);
+//! ```
+
+mod client;
+mod http;
+mod model;
+
+pub use client::{ClientError, JsonClient, JsonReply};
+pub use http::HttpPlatform;
+pub use model::{
+    CommitError, HostLister, ObjectStore, RowCheck, RowUpdate, StoreError, StoreFuture, StoreRow,
+    StoreTransaction, TableStore,
+};
--- /dev/null
+++ b/crates/wire/src/beat.rs
@@ -0,0 +1,64 @@
+//! Heartbeats to and from capnp.
+
+use crate::WireError;
+use crate::control_capnp::beat;
+use kernel::Version;
+use member::{Beat, Suspect, UpstreamLoad};
+
+/// Writes a heartbeat.
+pub fn write_beat(mut builder: beat::Builder<'_>, beat: &Beat) {
+    builder.set_from(beat.from.as_str());
+    builder.set_domain(beat.domain.as_str());
+    builder.set_is_leaving(beat.is_leaving);
+    builder.set_row_version(beat.row_version.0);
+    builder.set_fingerprint(beat.fingerprint);
+    builder.set_sheet_version(beat.sheet_version.0);
+    let mut loads = builder.reborrow().init_loads(beat.loads.len() as u32);
+    for (index, load) in beat.loads.iter().enumerate() {
+        let mut entry = loads.reborrow().get(index as u32);
+        entry.set_upstream(load.upstream.as_str());
+        entry.set_slot_ms(load.slot_ms);
+        entry.set_wait_ms(load.wait_ms);
+    }
+    let mut suspects = builder.init_suspects(beat.suspects.len() as u32);
+    for (index, suspect) in beat.suspects.iter().enumerate() {
+        let mut entry = suspects.reborrow().get(index as u32);
+        entry.set_fingerprint(suspect.fingerprint);
+        entry.set_losses(suspect.losses);
+        entry.set_remaining_ms(suspect.remaining_ms);
+    }
+}
+
+/// Reads a heartbeat.
+///
+/// # Errors
+///
+/// Fails when the message is broken.
+pub fn read_beat(reader: beat::Reader<'_>) -> Result<Beat, WireError> {
+    let mut loads = Vec::new();
+    for load in reader.get_loads()? {
+        loads.push(UpstreamLoad {
+            upstream: load.get_upstream()?.to_str()?.into(),
+            slot_ms: load.get_slot_ms(),
+            wait_ms: load.get_wait_ms(),
+        });
+    }
+    let mut suspects = Vec::new();
+    for suspect in reader.get_suspects()? {
+        suspects.push(Suspect {
+            fingerprint: suspect.get_fingerprint(),
+            losses: suspect.get_losses(),
+            remaining_ms: suspect.get_remaining_ms(),
+        });
+    }
+    Ok(Beat {
+        from: reader.get_from()?.to_str()?.into(),
+        domain: reader.get_domain()?.to_str()?.into(),
+        is_leaving: reader.get_is_leaving(),
+        row_version: Version(reader.get_row_version()),
+        fingerprint: reader.get_fingerprint(),
+        sheet_version: Version(reader.get_sheet_version()),
+        loads,
+        suspects,
+    })
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,38 @@
-//! Placeholder.
+//! Messages between hosts: capnp schema, generated code and conversions.
+//!
+//! `schema/control.capnp` describes the control messages. The code generated
+//! from it is committed, so the build needs no generator; `docs/INTERFACE.md`
+//! gives the command that made it.
+//!
+//! ```
+//! use kernel::Version;
+//! use owner::{RowContent, RowKey, ServiceRow, VersionedRow};
+//! use wire::RowWire;
+//!
+//! let row = VersionedRow {
+//!     key: RowKey::Service("mapview".into()),
+//!     version: Version(3),
+//!     content: RowContent::Service(ServiceRow { shards: 64 }),
+//! };
+//! let wire = RowWire::from(&row);
+//! assert_eq!(VersionedRow::try_from(&wire).unwrap(), row);
+//! ```
+
+mod beat;
+mod error;
+mod row;
+
+#[expect(
+    missing_docs,
+    missing_debug_implementations,
+    unused_qualifications,
+    clippy::all,
+    clippy::pedantic,
+    clippy::restriction,
+    reason = "generated code"
+)]
+pub mod control_capnp;
+
+pub use beat::{read_beat, write_beat};
+pub use error::WireError;
+pub use row::{RowWire, read_row, read_rows, store_row, transaction_to_store, write_rows};
