--- a/crates/ebonytrestle/src/main.rs
+++ b/crates/ebonytrestle/src/main.rs
@@ -1,2 +1,114 @@
-//! Placeholder.
-fn main(){}
+//! The entry host program.
+//!
+//! `ebonytrestle --settings FILE` runs a host until SIGTERM, which stops it
+//! without cutting a request; a second signal ends it at once.
+
+mod options;
+mod signals;
+
+use eyre::{Result, WrapErr, eyre};
+use host::{EntryHost, HostSettings, LogSettings};
+use log::{LevelFilter, info};
+use options::{Command, USAGE};
+use signals::StopSignals;
+use simplelog::{ConfigBuilder, SimpleLogger};
+use std::path::Path;
+use std::process::ExitCode;
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_USAGE: u8 = 2;
+/// Log targets of routing and placement decisions.
+const DECISION_TARGETS: [&str; 2] = ["route", "placement"];
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let command = match options::parse(&arguments) {
+        Ok(command) => command,
+        Err(error) => {
+            eprintln!("ebonytrestle: {error}\n{USAGE}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match run(command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("ebonytrestle: {error:#}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn run(command: Command) -> Result<()> {
+    match command {
+        Command::Help => {
+            println!("{USAGE}");
+            Ok(())
+        }
+        Command::Version => {
+            println!("ebonytrestle {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Command::Check(path) => {
+            let settings = load(&path)?;
+            println!("{}", serde_json::to_string_pretty(&settings)?);
+            Ok(())
+        }
+        Command::Serve(path) => {
+            let settings = load(&path)?;
+            start_log(&settings.log)?;
+            async_std::task::block_on(serve(settings))
+        }
+    }
+}
+
+fn load(path: &Path) -> Result<HostSettings> {
+    let text = std::fs::read_to_string(path)
+        .wrap_err_with(|| format!("{}: can't be read", path.display()))?;
+    HostSettings::parse(&text).map_err(|error| {
+        let lines = error.to_string();
+        let placed: Vec<String> = lines
+            .lines()
+            .map(|line| format!("{}: {line}", path.display()))
+            .collect();
+        eyre!("settings can't be used\n{}", placed.join("\n"))
+    })
+}
+
+fn start_log(settings: &LogSettings) -> Result<()> {
+    let level: LevelFilter = settings.level.parse().unwrap_or(LevelFilter::Info);
+    let mut config = ConfigBuilder::new();
+    config.set_time_format_rfc3339();
+    config.set_target_level(LevelFilter::Error);
+    config.set_thread_level(LevelFilter::Off);
+    if !settings.decisions {
+        for target in DECISION_TARGETS {
+            config.add_filter_ignore_str(target);
+        }
+    }
+    SimpleLogger::init(level, config.build()).wrap_err("logging can't be started")
+}
+
+async fn serve(settings: HostSettings) -> Result<()> {
+    let signals = StopSignals::listen()?;
+    let host = EntryHost::start(settings).await?;
+    let addresses = host.addresses();
+    info!(
+        target: "host",
+        "id={} callers={} peers={} control={} admin={}",
+        host.id(), addresses.callers, addresses.peers, addresses.control, addresses.admin,
+    );
+    signals.next().await;
+    info!(target: "host", "id={} stopping", host.id());
+    let stopping = async_std::task::spawn({
+        let host = host.clone();
+        async move { host.stop().await }
+    });
+    let second = Box::pin(signals.next());
+    match futures::future::select(stopping, second).await {
+        futures::future::Either::Left(_) => {
+            info!(target: "host", "id={} stopped", host.id());
+            Ok(())
+        }
+        futures::future::Either::Right(_) => Err(eyre!("ended at once by a second signal")),
+    }
+}
--- a/crates/gate/src/callers.rs
+++ b/crates/gate/src/callers.rs
@@ -53,7 +53,7 @@
         while let Ok((stream, _)) = listener.accept().await {
             let most = self.ingress.limits().max_connections;
             let is_full = self.connections.load(Ordering::Relaxed) >= most;
-            if is_full || self.ingress.is_stopping() || stream.set_nodelay(true).is_err() {
+            if is_full || stream.set_nodelay(true).is_err() {
                 continue;
             }
             let server = self.clone();
@@ -210,7 +210,9 @@
             has_body,
             stall: Duration::from_millis(self.ingress.limits().stall_ms),
         };
-        write_answer(connection, parts).await
+        let is_whole = write_answer(connection, parts).await;
+        drop(reply.in_flight);
+        is_whole
     }
 }
 
@@ -257,6 +259,7 @@
             .unwrap_or("none")
             .to_owned(),
         outcome: Err(cause.into()),
+        in_flight: None,
     }
 }
 
--- a/crates/gate/src/desks.rs
+++ b/crates/gate/src/desks.rs
@@ -28,6 +28,8 @@
 #[derive(Debug)]
 pub(crate) struct DesksShared {
     desks: ArcSwap<DeskMap>,
+    /// Desks of upstreams handed over, while their requests run to the end.
+    retired: Mutex<Vec<Arc<UpstreamDesk>>>,
     pub quarantine: Mutex<QuarantineBook>,
     pub journal: Journal,
     pub exchanger: Exchanger,
@@ -51,6 +53,7 @@
         Self {
             shared: Arc::new(DesksShared {
                 desks: ArcSwap::default(),
+                retired: Mutex::new(Vec::new()),
                 quarantine: Mutex::new(quarantine),
                 journal,
                 exchanger: Exchanger {
@@ -99,6 +102,7 @@
         self.shared.desks.store(Arc::new(next));
         for desk in retired {
             desk.retire();
+            self.shared.retired.lock().push(desk);
         }
         Ok(())
     }
@@ -189,7 +193,10 @@
     /// Returns running and queued requests over all desks.
     pub fn occupancy(&self) -> (u32, usize) {
         let mut total = (0, 0);
-        for desk in self.shared.desks.load().values() {
+        let mut retired = self.shared.retired.lock();
+        retired.retain(|desk| desk.occupancy() != (0, 0));
+        let desks = self.shared.desks.load();
+        for desk in desks.values().chain(retired.iter()) {
             let (running, queued) = desk.occupancy();
             total.0 += running;
             total.1 += queued;
--- a/crates/gate/src/ingress.rs
+++ b/crates/gate/src/ingress.rs
@@ -92,10 +92,13 @@
 pub(crate) struct CallerReply {
     pub request_id: String,
     pub outcome: Result<Answer, Refusal>,
+    /// Counts the request in hand until its answer is written.
+    pub in_flight: Option<InFlightGuard>,
 }
 
 /// Counts a request in hand while it lives.
-struct InFlightGuard {
+#[derive(Debug)]
+pub(crate) struct InFlightGuard {
     shared: Arc<IngressShared>,
     body_bytes: u64,
 }
@@ -210,10 +213,17 @@
             doubt: None,
         };
         let mut rank = None;
+        let mut in_flight = None;
         let outcome = match self.resolve(request, id.into()) {
             Ok((kind, mut order)) => {
                 rank = Some(order.rank);
-                let outcome = self.admit_and_try(&kind, &mut order, &mut record).await;
+                let outcome = match self.enter(&order) {
+                    Ok(guard) => {
+                        in_flight = Some(guard);
+                        self.try_until_done(&kind, &mut order, &mut record).await
+                    }
+                    Err(refusal) => Err(refusal),
+                };
                 log_decision(&order, &outcome, &record, self.now(), &request_id);
                 outcome
             }
@@ -223,6 +233,7 @@
         CallerReply {
             request_id,
             outcome,
+            in_flight,
         }
     }
 
@@ -276,13 +287,12 @@
         Ok((kind.clone(), order))
     }
 
-    async fn admit_and_try(
+    async fn try_until_done(
         &self,
         kind: &KindRoute,
         order: &mut WorkOrder,
         record: &mut TryRecord,
     ) -> Result<Answer, Refusal> {
-        let _guard = self.enter(order)?;
         self.budget(&order.service, RetryBudget::note_first_try);
         loop {
             let outcome = self.try_once(kind, order, record).await;
--- /dev/null
+++ b/crates/host/src/admin.rs
@@ -0,0 +1,183 @@
+//! The administration API and metrics, by `tide`.
+
+use crate::control::{ControlHandle, ControlRequest};
+use crate::settings::{AdminRole, AdminToken};
+use crate::submit::{SheetDesk, Submission};
+use crate::token::{allows, authenticate};
+use async_std::net::TcpListener;
+use kernel::{TaskScope, Version};
+use log::info;
+use prometheus::{Encoder, Registry, TextEncoder};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use tide::{Request, Response, StatusCode};
+
+const MAX_SHEET_BYTES: usize = 8 << 20;
+
+/// What the administration API needs.
+#[derive(Clone, Debug)]
+pub(crate) struct AdminState {
+    pub control: ControlHandle,
+    pub sheets: SheetDesk,
+    pub tokens: Arc<Vec<AdminToken>>,
+    pub registry: Registry,
+}
+
+/// Body of a drain request.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DrainBody {
+    /// The upstream; absent to drain this host.
+    #[serde(default)]
+    upstream: Option<String>,
+    /// Whether it leaves; `false` takes a drain back.
+    #[serde(default = "yes")]
+    leaving: bool,
+}
+
+const fn yes() -> bool {
+    true
+}
+
+/// Serves the administration API until the scope is closed.
+pub(crate) fn serve_admin(state: AdminState, listener: TcpListener, scope: &TaskScope) {
+    let mut app = tide::with_state(state);
+    app.at("/metrics").get(metrics);
+    app.at("/status").get(status);
+    app.at("/sheet").get(show_sheet).post(submit_sheet);
+    app.at("/drain").post(drain);
+    scope.spawn(async move {
+        // The listener ends with the host.
+        let _ended = app.listen(listener).await;
+    });
+}
+
+/// Returns the token's name, or the answer that refuses the request.
+fn require(request: &Request<AdminState>, role: AdminRole) -> Result<String, Response> {
+    let header = request
+        .header("authorization")
+        .map(|values| values.last().as_str());
+    let Some(token) = authenticate(&request.state().tokens, header) else {
+        return Err(refusal(StatusCode::Unauthorized, "a known bearer token is required"));
+    };
+    if !allows(token, role) {
+        return Err(refusal(StatusCode::Forbidden, "the token allows reading only"));
+    }
+    Ok(token.name.clone())
+}
+
+fn refusal(status: StatusCode, message: &str) -> Response {
+    let mut response = Response::new(status);
+    response.set_body(serde_json::json!({ "error": message }));
+    response
+}
+
+fn json(status: u16, body: &impl Serialize) -> tide::Result {
+    let mut response = Response::new(status);
+    response.set_body(tide::Body::from_json(body)?);
+    Ok(response)
+}
+
+async fn metrics(request: Request<AdminState>) -> tide::Result {
+    let mut text = Vec::new();
+    TextEncoder::new().encode(&request.state().registry.gather(), &mut text)?;
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_content_type("text/plain; version=0.0.4");
+    response.set_body(text);
+    Ok(response)
+}
+
+async fn status(request: Request<AdminState>) -> tide::Result {
+    if let Err(response) = require(&request, AdminRole::Reader) {
+        return Ok(response);
+    }
+    match request.state().control.ask(ControlRequest::Status).await {
+        Some(status) => json(200, &status),
+        None => Ok(refusal(StatusCode::ServiceUnavailable, "the host has ended")),
+    }
+}
+
+async fn show_sheet(request: Request<AdminState>) -> tide::Result {
+    if let Err(response) = require(&request, AdminRole::Reader) {
+        return Ok(response);
+    }
+    let present = request.state().control.ask(ControlRequest::Sheet).await;
+    let Some((version, body)) = present.flatten() else {
+        return Ok(refusal(StatusCode::NotFound, "no sheet is in force"));
+    };
+    let mut response = Response::new(StatusCode::Ok);
+    response.insert_header("x-sheet-version", version.to_string());
+    response.set_content_type("application/json");
+    response.set_body(body);
+    Ok(response)
+}
+
+async fn submit_sheet(mut request: Request<AdminState>) -> tide::Result {
+    let operator = match require(&request, AdminRole::Operator) {
+        Ok(operator) => operator,
+        Err(response) => return Ok(response),
+    };
+    if request.len().is_none_or(|length| length > MAX_SHEET_BYTES) {
+        let message = "a content-length of at most 8388608 is required";
+        return Ok(refusal(StatusCode::PayloadTooLarge, message));
+    }
+    let Some(base) = query_value(&request, "base").and_then(|text| text.parse().ok()) else {
+        let message = "base: expected the version that the sheet is based on";
+        return Ok(refusal(StatusCode::BadRequest, message));
+    };
+    let Some(token) = query_value(&request, "submission").filter(|text| !text.is_empty()) else {
+        let message = "submission: expected a token that names this submission";
+        return Ok(refusal(StatusCode::BadRequest, message));
+    };
+    let is_dry_run = query_value(&request, "dry_run").as_deref() == Some("1");
+    let Ok(body) = request.body_string().await else {
+        return Ok(refusal(StatusCode::BadRequest, "the body is not text"));
+    };
+    let outcome = request
+        .state()
+        .sheets
+        .submit(Submission {
+            body,
+            base: Version(base),
+            token,
+            operator: operator.clone(),
+            is_dry_run,
+        })
+        .await;
+    info!(target: "config", "operator={operator} base={base} status={}", outcome.status());
+    json(outcome.status(), &outcome)
+}
+
+async fn drain(mut request: Request<AdminState>) -> tide::Result {
+    let operator = match require(&request, AdminRole::Operator) {
+        Ok(operator) => operator,
+        Err(response) => return Ok(response),
+    };
+    let body: DrainBody = match request.body_json().await {
+        Ok(body) => body,
+        Err(error) => return Ok(refusal(StatusCode::BadRequest, &error.to_string())),
+    };
+    let control = &request.state().control;
+    match body.upstream {
+        Some(upstream) => {
+            info!(target: "config", "operator={operator} drain={upstream} leaving={}", body.leaving);
+            control.tell(ControlRequest::Drain(upstream.into(), body.leaving));
+        }
+        None if body.leaving => {
+            info!(target: "config", "operator={operator} drain=host");
+            control.tell(ControlRequest::Leave);
+        }
+        None => {
+            let message = "leaving: a host that leaves does not come back";
+            return Ok(refusal(StatusCode::BadRequest, message));
+        }
+    }
+    json(202, &serde_json::json!({ "accepted": true }))
+}
+
+fn query_value(request: &Request<AdminState>, name: &str) -> Option<String> {
+    let mut pairs = request.url().query_pairs();
+    pairs
+        .find(|(known, _)| known == name)
+        .map(|(_, value)| value.into_owned())
+}
--- /dev/null
+++ b/crates/host/src/link.rs
@@ -0,0 +1,289 @@
+//! Control links to other hosts, by capnp-rpc.
+
+use crate::hub::ControlHub;
+use async_std::future::timeout;
+use async_std::net::TcpStream;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{Disconnector, RpcSystem, twoparty};
+use futures::AsyncReadExt;
+use indexmap::IndexMap;
+use kernel::{HostId, Moment, Version};
+use log::debug;
+use member::Beat;
+use owner::{Event, HostAddress, RowBook, VersionedRow};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use wire::control_capnp::{control, entry};
+use wire::{WireError, read_beat, read_rows, write_beat, write_rows};
+
+const CONNECT_LIMIT: Duration = Duration::from_millis(200);
+const CALL_LIMIT: Duration = Duration::from_millis(400);
+const BODY_LIMIT: Duration = Duration::from_secs(2);
+/// Heartbeats on the way to one host; more would only queue up behind a stall.
+const MOST_BEATS_OPEN: u32 = 3;
+
+/// Links by control address.
+#[derive(Debug, Default)]
+pub(crate) struct LinkTable {
+    links: RefCell<IndexMap<String, Rc<PeerLink>>>,
+}
+
+/// A link to one host, dialled when it is first needed and after it failed.
+struct PeerLink {
+    address: String,
+    session: futures::lock::Mutex<Option<LinkSession>>,
+    beats_open: Cell<u32>,
+}
+
+/// A dialled connection.
+struct LinkSession {
+    control: control::Client,
+    disconnector: Disconnector<Side>,
+}
+
+impl std::fmt::Debug for PeerLink {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PeerLink")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+/// A call on a link that failed.
+#[derive(Debug)]
+pub(crate) enum LinkError {
+    Connect,
+    Call(capnp::Error),
+    Wire(WireError),
+}
+
+impl std::fmt::Display for LinkError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Connect => f.write_str("no connection"),
+            Self::Call(error) => write!(f, "call failed: {error}"),
+            Self::Wire(error) => error.fmt(f),
+        }
+    }
+}
+
+impl From<capnp::Error> for LinkError {
+    fn from(error: capnp::Error) -> Self {
+        Self::Call(error)
+    }
+}
+
+impl From<WireError> for LinkError {
+    fn from(error: WireError) -> Self {
+        Self::Wire(error)
+    }
+}
+
+impl LinkTable {
+    fn link(&self, address: &str) -> Rc<PeerLink> {
+        let mut links = self.links.borrow_mut();
+        if let Some(link) = links.get(address) {
+            return Rc::clone(link);
+        }
+        let link = Rc::new(PeerLink {
+            address: address.to_owned(),
+            session: futures::lock::Mutex::new(None),
+            beats_open: Cell::new(0),
+        });
+        links.insert(address.to_owned(), Rc::clone(&link));
+        link
+    }
+}
+
+impl PeerLink {
+    /// Returns the client, dialling if there is none.
+    async fn client(&self, secret: &str) -> Result<control::Client, LinkError> {
+        let mut slot = self.session.lock().await;
+        if let Some(session) = &*slot {
+            return Ok(session.control.clone());
+        }
+        let session = timeout(CONNECT_LIMIT, dial(&self.address, secret))
+            .await
+            .map_err(|_elapsed| LinkError::Connect)??;
+        let control = session.control.clone();
+        *slot = Some(session);
+        Ok(control)
+    }
+
+    /// Drops the connection, so that the next call dials anew.
+    async fn drop_client(&self) {
+        let session = self.session.lock().await.take();
+        if let Some(session) = session {
+            // The peer may have closed the connection before.
+            let _closed_already = session.disconnector.await;
+        }
+    }
+}
+
+async fn dial(address: &str, secret: &str) -> Result<LinkSession, LinkError> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|_io| LinkError::Connect)?;
+    stream.set_nodelay(true).map_err(|_io| LinkError::Connect)?;
+    let (reader, writer) = stream.split();
+    let network = Box::new(twoparty::VatNetwork::new(
+        reader,
+        writer,
+        Side::Client,
+        capnp::message::ReaderOptions::default(),
+    ));
+    let mut system = RpcSystem::new(network, None);
+    let entry: entry::Client = system.bootstrap(Side::Server);
+    let disconnector = system.get_disconnector();
+    async_std::task::spawn_local(async move {
+        // The system ends when the connection does.
+        let _ended = system.await;
+    });
+    let mut request = entry.enter_request();
+    request.get().set_secret(secret.as_bytes());
+    let response = request.send().promise.await?;
+    let control = response.get()?.get_control()?;
+    Ok(LinkSession {
+        control,
+        disconnector,
+    })
+}
+
+impl ControlHub {
+    fn link_to(&self, address: &HostAddress) -> Rc<PeerLink> {
+        let control = &address.control;
+        let reached = self.settings.translations.get(control).unwrap_or(control);
+        self.links.link(reached)
+    }
+
+    /// Sends a heartbeat and takes the acknowledgement in.
+    pub fn send_beat(self: &Rc<Self>, to: &HostAddress, beat: Beat) {
+        let link = self.link_to(to);
+        if link.beats_open.get() >= MOST_BEATS_OPEN {
+            return;
+        }
+        link.beats_open.set(link.beats_open.get() + 1);
+        let hub = Rc::clone(self);
+        async_std::task::spawn_local(async move {
+            let sent = hub.clock.now();
+            let outcome = timeout(CALL_LIMIT, hub.call_beat(&link, &beat)).await;
+            link.beats_open.set(link.beats_open.get() - 1);
+            match outcome {
+                Ok(Ok(beat)) => hub.note_acknowledgement(sent, beat),
+                Ok(Err(error)) => {
+                    debug!(target: "member", "link={} {error}", link.address);
+                    link.drop_client().await;
+                }
+                Err(_elapsed) => {
+                    debug!(target: "member", "link={} no answer", link.address);
+                    link.drop_client().await;
+                }
+            }
+        });
+    }
+
+    fn note_acknowledgement(self: &Rc<Self>, sent: Moment, beat: Beat) {
+        self.note_riders(&beat);
+        self.event(Event::BeatAcknowledged { sent, beat });
+    }
+
+    /// Takes in what rides on a heartbeat besides the control state.
+    pub fn note_riders(&self, beat: &Beat) {
+        self.desks.merge_suspects(&beat.suspects);
+        self.ingress.note_loads(&beat.loads);
+    }
+
+    async fn call_beat(&self, link: &PeerLink, beat: &Beat) -> Result<Beat, LinkError> {
+        let client = link.client(&self.settings.peer_secret).await?;
+        let mut request = client.beat_request();
+        write_beat(request.get().init_beat(), beat);
+        let response = request.send().promise.await?;
+        Ok(read_beat(response.get()?.get_beat()?)?)
+    }
+
+    /// Pushes rows and takes the acknowledgement in.
+    pub fn push_rows(self: &Rc<Self>, to: &HostAddress, rows: Vec<VersionedRow>) {
+        let link = self.link_to(to);
+        let hub = Rc::clone(self);
+        async_std::task::spawn_local(async move {
+            let outcome = timeout(CALL_LIMIT, hub.call_push(&link, &rows)).await;
+            if let Ok(Ok(beat)) = outcome {
+                hub.note_riders(&beat);
+                hub.event(Event::PushAcknowledged(beat));
+            }
+        });
+    }
+
+    async fn call_push(&self, link: &PeerLink, rows: &[VersionedRow]) -> Result<Beat, LinkError> {
+        let client = link.client(&self.settings.peer_secret).await?;
+        let mut request = client.push_request();
+        let mut params = request.get();
+        params.set_from(self.core.borrow().id().as_str());
+        write_rows(params.init_rows(rows.len() as u32), rows);
+        let response = request.send().promise.await?;
+        Ok(read_beat(response.get()?.get_beat()?)?)
+    }
+
+    /// Pulls newer rows from a host.
+    pub fn pull_rows(self: &Rc<Self>, from: HostId, address: &HostAddress) {
+        let link = self.link_to(address);
+        let hub = Rc::clone(self);
+        async_std::task::spawn_local(async move {
+            let outcome = timeout(CALL_LIMIT, hub.call_pull(&link)).await;
+            if let Ok(Ok(rows)) = outcome
+                && !rows.is_empty()
+            {
+                hub.event(Event::RowsReceived { from, rows });
+            }
+        });
+    }
+
+    async fn call_pull(&self, link: &PeerLink) -> Result<Vec<VersionedRow>, LinkError> {
+        let client = link.client(&self.settings.peer_secret).await?;
+        let mut request = client.pull_request();
+        {
+            let core = self.core.borrow();
+            let known = versions_of(core.rows());
+            let mut list = request.get().init_known(known.len() as u32);
+            for (index, (key, version)) in known.iter().enumerate() {
+                let mut entry = list.reborrow().get(index as u32);
+                entry.set_key(key.as_str());
+                entry.set_version(version.0);
+            }
+        }
+        let response = request.send().promise.await?;
+        Ok(read_rows(response.get()?.get_rows()?)?)
+    }
+
+    /// Asks a host for the body of a sheet version.
+    pub async fn pull_sheet(&self, address: &HostAddress, version: Version) -> Option<Vec<u8>> {
+        let link = self.link_to(address);
+        let outcome = timeout(BODY_LIMIT, self.call_sheet(&link, version)).await;
+        outcome.ok()?.ok()?
+    }
+
+    async fn call_sheet(
+        &self,
+        link: &PeerLink,
+        version: Version,
+    ) -> Result<Option<Vec<u8>>, LinkError> {
+        let client = link.client(&self.settings.peer_secret).await?;
+        let mut request = client.sheet_request();
+        request.get().set_version(version.0);
+        let response = request.send().promise.await?;
+        let results = response.get()?;
+        if !results.get_found() {
+            return Ok(None);
+        }
+        Ok(Some(results.get_body()?.to_vec()))
+    }
+}
+
+fn versions_of(rows: &RowBook) -> Vec<(String, Version)> {
+    let versions = rows.iter().map(|row| {
+        let key = row.key.to_string();
+        (key, row.version)
+    });
+    versions.collect()
+}
--- /dev/null
+++ b/crates/host/src/perform.rs
@@ -0,0 +1,250 @@
+//! Carries out what the control state machine asks for.
+
+use crate::hub::ControlHub;
+use http_types::Method;
+use kernel::{Epoch, Moment, UpstreamId, Version};
+use log::{info, warn};
+use owner::{
+    Action, CommitId, CommitOutcome, Event, LeaseOrder, LeaseReply, LeaseResult, RowContent,
+    RowKey, TableTransaction, VersionedRow,
+};
+use serde::Deserialize;
+use sheet::{Sheet, SheetDigest};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use store::{CommitError, JsonClient, RowCheck};
+use wire::{store_row, store_transaction};
+
+/// Prefixes of the rows that the control state holds.
+const ROW_PREFIXES: [&str; 4] = ["config", "service/", "domain/", "assign/"];
+const SHEET_RETRY_PAUSE: Duration = Duration::from_millis(150);
+const LOG_TARGET: &str = "placement";
+
+/// Body of an upstream's refusal of a lease order.
+#[derive(Debug, Deserialize)]
+struct SupersededBody {
+    superseded: Epoch,
+}
+
+impl ControlHub {
+    pub(crate) fn perform(self: &Rc<Self>, now: Moment, action: Action) {
+        match action {
+            Action::SendBeat { to, beat } => self.send_beat(&to, beat),
+            Action::Push { to, rows } => self.push_rows(&to, rows),
+            Action::Pull { from, address } => self.pull_rows(from, &address),
+            Action::ReadTable => self.read_table(now),
+            Action::Commit { id, transaction } => self.commit(id, transaction),
+            Action::OrderLease {
+                upstream,
+                address,
+                order,
+            } => self.order_lease(upstream, &address, order),
+            Action::LoadSheet { version } => self.load_sheet(version),
+        }
+    }
+
+    fn read_table(self: &Rc<Self>, started: Moment) {
+        let hub = Rc::clone(self);
+        async_std::task::spawn_local(async move {
+            let Ok(found) = hub.ports.table.scan(&ROW_PREFIXES).await else {
+                hub.event(Event::TableReadFailed);
+                return;
+            };
+            let mut rows = Vec::new();
+            for row in found {
+                match store_row(&row.key, row.version, &row.value) {
+                    Ok(row) => rows.push(row),
+                    Err(error) => warn!(target: LOG_TARGET, "row left out: {error}"),
+                }
+            }
+            hub.event(Event::TableRead { started, rows });
+        });
+    }
+
+    fn commit(self: &Rc<Self>, id: CommitId, transaction: TableTransaction) {
+        let hub = Rc::clone(self);
+        async_std::task::spawn_local(async move {
+            let converted = store_transaction(&transaction);
+            let outcome = match hub.ports.table.commit(&converted).await {
+                Ok(versions) => CommitOutcome::Committed(written_rows(&transaction, &versions)),
+                Err(CommitError::Conflict(_)) => CommitOutcome::Conflict,
+                Err(CommitError::NotTried(_)) => CommitOutcome::NotTried,
+                Err(CommitError::Unknown(_)) => CommitOutcome::Unknown,
+            };
+            log_commit(&transaction, &outcome);
+            hub.event(Event::CommitEnded { id, outcome });
+        });
+    }
+
+    fn order_lease(self: &Rc<Self>, upstream: UpstreamId, address: &str, order: LeaseOrder) {
+        let client = self.lease_client(address);
+        let hub = Rc::clone(self);
+        async_std::task::spawn_local(async move {
+            let sent = hub.clock.now();
+            let epoch = order.epoch;
+            let result = send_order(&client, &order).await;
+            if let LeaseResult::Accepted(reply) = &result {
+                hub.note_boot(&upstream, reply.boot);
+            }
+            hub.event(Event::LeaseAnswered {
+                upstream,
+                epoch,
+                sent,
+                result,
+            });
+        });
+    }
+
+    fn lease_client(&self, address: &str) -> JsonClient {
+        let limit = self.core.borrow().timing().lease();
+        let mut clients = self.lease_clients.borrow_mut();
+        let client = clients
+            .entry(address.to_owned())
+            .or_insert_with(|| JsonClient::new(address, limit));
+        client.clone()
+    }
+
+    fn note_boot(&self, upstream: &UpstreamId, boot: u64) {
+        let known = self.boots.borrow_mut().insert(upstream.clone(), boot);
+        if known.is_some_and(|known| known != boot) {
+            info!(target: LOG_TARGET, "upstream={upstream} started anew");
+            self.desks.note_restart(upstream);
+        }
+    }
+
+    /// Gets a sheet's body from the object store or from a host that has it.
+    fn load_sheet(self: &Rc<Self>, version: Version) {
+        if self.loading_sheet.get() >= Some(version) {
+            return;
+        }
+        self.loading_sheet.set(Some(version));
+        let hub = Rc::clone(self);
+        async_std::task::spawn_local(async move {
+            while !hub.scope.is_closed() && hub.loading_sheet.get() == Some(version) {
+                if let Some(body) = hub.fetch_sheet(version).await {
+                    hub.take_sheet(version, body);
+                    return;
+                }
+                async_std::task::sleep(SHEET_RETRY_PAUSE).await;
+            }
+        });
+    }
+
+    async fn fetch_sheet(&self, version: Version) -> Option<Vec<u8>> {
+        let digest = self.accepted_digest(version)?;
+        for address in self.holders(version) {
+            let body = self.pull_sheet(&address, version).await;
+            if let Some(body) = body.filter(|body| SheetDigest::of(body) == digest) {
+                return Some(body);
+            }
+        }
+        let stored = self.ports.objects.get(digest.as_str()).await.ok()??;
+        (SheetDigest::of(&stored) == digest).then_some(stored)
+    }
+
+    /// Returns the digest of a version, unless a newer one has been accepted.
+    fn accepted_digest(&self, version: Version) -> Option<SheetDigest> {
+        let core = self.core.borrow();
+        let (accepted, row) = core.rows().config()?;
+        (accepted == version).then(|| row.digest.clone())
+    }
+
+    fn holders(&self, version: Version) -> Vec<owner::HostAddress> {
+        const MOST_ASKED: usize = 2;
+        let now = self.clock.now();
+        let core = self.core.borrow();
+        let holders = core
+            .peers()
+            .heard(now)
+            .filter(|(_, peer)| peer.beat.sheet_version == version)
+            .filter_map(|(host, _)| core.address_of(host));
+        holders.take(MOST_ASKED).collect()
+    }
+
+    /// Puts a sheet in force whose digest has been checked.
+    pub(crate) fn take_sheet(self: &Rc<Self>, version: Version, body: Vec<u8>) {
+        let parsed = std::str::from_utf8(&body).map(Sheet::parse);
+        let Ok(Ok(sheet)) = parsed else {
+            warn!(target: "config", "version={version} can't be read; the one in force stays");
+            return;
+        };
+        let newest = self.sheet_body.borrow().as_ref().map(|(known, _)| *known);
+        if newest >= Some(version) {
+            return;
+        }
+        *self.sheet_body.borrow_mut() = Some((version, body));
+        self.note_spread(version);
+        let sheet = Arc::new(sheet);
+        self.event(Event::SheetLoaded { version, sheet });
+    }
+
+    fn note_spread(&self, version: Version) {
+        let core = self.core.borrow();
+        let Some((accepted, row)) = core.rows().config() else {
+            return;
+        };
+        if accepted == version {
+            let spread = wall_clock_ms().saturating_sub(row.committed_at_ms);
+            self.sheet_spread_ms.set(Some(spread));
+        }
+    }
+}
+
+pub(crate) fn wall_clock_ms() -> u64 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
+}
+
+async fn send_order(client: &JsonClient, order: &LeaseOrder) -> LeaseResult {
+    let Ok(body) = serde_json::to_vec(order) else {
+        return LeaseResult::Failed;
+    };
+    let Ok(reply) = client.send(Method::Post, "/control/lease", &body).await else {
+        return LeaseResult::Failed;
+    };
+    if reply.is_success() {
+        return match reply.parse::<LeaseReply>() {
+            Ok(accepted) => LeaseResult::Accepted(accepted),
+            Err(_) => LeaseResult::Failed,
+        };
+    }
+    match reply.parse::<SupersededBody>() {
+        Ok(body) if reply.status == 409 => LeaseResult::Superseded(body.superseded),
+        _ => LeaseResult::Failed,
+    }
+}
+
+fn written_rows(transaction: &TableTransaction, versions: &[RowCheck]) -> Vec<VersionedRow> {
+    let mut rows = Vec::new();
+    for (write, version) in transaction.writes.iter().zip(versions) {
+        rows.push(VersionedRow {
+            key: write.key.clone(),
+            version: Version(version.version),
+            content: write.content.clone(),
+        });
+    }
+    rows
+}
+
+fn log_commit(transaction: &TableTransaction, outcome: &CommitOutcome) {
+    let outcome = match outcome {
+        CommitOutcome::Committed(_) => "committed",
+        CommitOutcome::Conflict => "conflict",
+        CommitOutcome::NotTried => "not-tried",
+        CommitOutcome::Unknown => "unknown",
+    };
+    for write in &transaction.writes {
+        let (hosts, upstreams) = match &write.content {
+            RowContent::Domain(row) => (row.hosts.len(), row.upstreams.len()),
+            _ => (0, 0),
+        };
+        let key: &RowKey = &write.key;
+        info!(
+            target: LOG_TARGET,
+            "row={key} base={} outcome={outcome} hosts={hosts} upstreams={upstreams}",
+            write.base,
+        );
+    }
+}
--- /dev/null
+++ b/crates/host/src/publish.rs
@@ -0,0 +1,143 @@
+//! Carries the control state over to traffic.
+
+use crate::hub::ControlHub;
+use gate::{SnapshotCell, TrafficSnapshot};
+use indexmap::{IndexMap, IndexSet};
+use kernel::{DomainName, HostId, Moment, ServiceName, ShardId, UpstreamId, Version};
+use log::{info, warn};
+use owner::{ControlCore, ShardOwner, UpstreamEntry};
+use route::{OwnerTable, RouteTable};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Silence and reachability change without an event, so they are looked at anew
+/// this often.
+const REFRESH_PERIOD: Duration = Duration::from_millis(50);
+
+/// What was published last.
+#[derive(Debug)]
+pub(crate) struct Publisher {
+    snapshots: Arc<SnapshotCell>,
+    generation: Option<u64>,
+    sheet_version: Version,
+    routes: Arc<RouteTable>,
+    silent_hosts: IndexSet<HostId>,
+    unreachable: IndexSet<DomainName>,
+    refreshed_at: Moment,
+    owners: IndexMap<ServiceName, IndexMap<ShardId, ShardOwner>>,
+}
+
+impl Publisher {
+    pub fn new(snapshots: Arc<SnapshotCell>) -> Self {
+        Self {
+            snapshots,
+            generation: None,
+            sheet_version: Version(0),
+            routes: Arc::default(),
+            silent_hosts: IndexSet::new(),
+            unreachable: IndexSet::new(),
+            refreshed_at: Moment::ZERO,
+            owners: IndexMap::new(),
+        }
+    }
+
+    /// Returns whether anything that traffic sees has changed.
+    fn is_changed(&mut self, core: &ControlCore, now: Moment) -> bool {
+        let mut changed = self.generation != Some(core.generation());
+        if changed || now - self.refreshed_at >= REFRESH_PERIOD {
+            self.refreshed_at = now;
+            let silent_hosts = silent_hosts(core, now);
+            let unreachable = unreachable_domains(core, now);
+            changed |= silent_hosts != self.silent_hosts || unreachable != self.unreachable;
+            self.silent_hosts = silent_hosts;
+            self.unreachable = unreachable;
+        }
+        self.generation = Some(core.generation());
+        changed
+    }
+
+    fn follow_sheet(&mut self, core: &ControlCore) {
+        let Some((version, sheet)) = core.sheet() else {
+            return;
+        };
+        if version == self.sheet_version {
+            return;
+        }
+        info!(target: "config", "version={version} in force");
+        self.sheet_version = version;
+        self.routes = Arc::new(RouteTable::compile(sheet));
+    }
+
+    /// Logs a line for each change of owner.
+    fn log_changes(&mut self, next: IndexMap<ServiceName, IndexMap<ShardId, ShardOwner>>) {
+        for (service, shards) in &next {
+            let known = self.owners.get(service);
+            for (shard, owner) in shards {
+                let old = known.and_then(|known| known.get(shard));
+                let Some(old) = old.filter(|old| *old != owner) else {
+                    continue;
+                };
+                info!(
+                    target: "placement",
+                    "service={service} shard={shard} from={} to={} epoch={}",
+                    old.upstream, owner.upstream, owner.epoch,
+                );
+            }
+        }
+        self.owners = next;
+    }
+}
+
+impl ControlHub {
+    /// Publishes what has changed since the last call.
+    pub fn publish(self: &Rc<Self>, now: Moment) {
+        let core = self.core.borrow();
+        self.desks.set_leases(core.lease_ends());
+        let mut publisher = self.publisher.borrow_mut();
+        if !publisher.is_changed(&core, now) {
+            return;
+        }
+        publisher.follow_sheet(&core);
+        publisher.log_changes(core.shard_owners());
+        self.update_desks(&core);
+        let domains = core
+            .rows()
+            .domains()
+            .map(|(name, row)| (name, &**row, publisher.unreachable.contains(name)));
+        publisher.snapshots.store(TrafficSnapshot {
+            sheet_version: publisher.sheet_version,
+            routes: Arc::clone(&publisher.routes),
+            owners: OwnerTable::build(domains, &publisher.owners),
+            silent_hosts: publisher.silent_hosts.clone(),
+            domain: Some(self.settings.domain.clone()),
+        });
+    }
+
+    fn update_desks(&self, core: &ControlCore) {
+        let owned = core.owned_upstreams();
+        let sheet = core.sheet().map(|(_, sheet)| &**sheet);
+        let row = core.rows().domain(&self.settings.domain);
+        let entry_of = |id: &UpstreamId| -> Option<&UpstreamEntry> { row?.upstreams.get(id) };
+        if let Err(error) = self.desks.update(&owned, sheet, entry_of) {
+            warn!(target: "placement", "desks not updated: {error}");
+        }
+    }
+}
+
+fn silent_hosts(core: &ControlCore, now: Moment) -> IndexSet<HostId> {
+    let own = core.rows().domains();
+    let hosts = own.flat_map(|(_, row)| row.hosts.keys());
+    let silent = hosts.filter(|host| {
+        *host != core.id()
+            && core.peers().get(host).is_some()
+            && !core.peers().is_heard(now, host)
+    });
+    silent.cloned().collect()
+}
+
+fn unreachable_domains(core: &ControlCore, now: Moment) -> IndexSet<DomainName> {
+    let domains = core.rows().domains();
+    let unreachable = domains.filter(|(name, _)| core.is_domain_unreachable(now, name));
+    unreachable.map(|(name, _)| name.clone()).collect()
+}
--- /dev/null
+++ b/crates/host/src/rpc.rs
@@ -0,0 +1,151 @@
+//! The far end of control links.
+
+use crate::hub::ControlHub;
+use async_std::net::{TcpListener, TcpStream};
+use capnp::Error;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, new_client, twoparty};
+use futures::AsyncReadExt;
+use gate::PeerSecret;
+use indexmap::IndexMap;
+use kernel::Version;
+use owner::{Event, VersionedRow};
+use std::rc::Rc;
+use wire::control_capnp::{control, entry};
+use wire::{WireError, read_beat, read_rows, write_beat, write_rows};
+
+/// Accepts control links until the listener fails.
+pub(crate) async fn accept_links(hub: Rc<ControlHub>, secret: PeerSecret, listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        if hub.scope.is_closed() {
+            return;
+        }
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        serve_link(Rc::clone(&hub), secret.clone(), stream);
+    }
+}
+
+fn serve_link(hub: Rc<ControlHub>, secret: PeerSecret, stream: TcpStream) {
+    let (reader, writer) = stream.split();
+    let network = Box::new(twoparty::VatNetwork::new(
+        reader,
+        writer,
+        Side::Server,
+        capnp::message::ReaderOptions::default(),
+    ));
+    let scope = hub.scope.clone();
+    let entry: entry::Client = new_client(LinkEntry { hub, secret });
+    let system = RpcSystem::new(network, Some(entry.client));
+    async_std::task::spawn_local(async move {
+        // The system ends when the connection or the host does.
+        futures::future::select(system, Box::pin(scope.closed())).await;
+    });
+}
+
+/// The bootstrap interface, which asks for the deployment's secret.
+struct LinkEntry {
+    hub: Rc<ControlHub>,
+    secret: PeerSecret,
+}
+
+impl entry::Server for LinkEntry {
+    async fn enter(
+        self: Rc<Self>,
+        params: entry::EnterParams,
+        mut results: entry::EnterResults,
+    ) -> Result<(), Error> {
+        if !self.secret.matches(params.get()?.get_secret()?) {
+            return Err(Error::failed("wrong secret".to_owned()));
+        }
+        let control = LinkControl {
+            hub: Rc::clone(&self.hub),
+        };
+        results.get().set_control(new_client(control));
+        Ok(())
+    }
+}
+
+/// Control messages of a host that knows the secret.
+struct LinkControl {
+    hub: Rc<ControlHub>,
+}
+
+impl control::Server for LinkControl {
+    async fn beat(
+        self: Rc<Self>,
+        params: control::BeatParams,
+        mut results: control::BeatResults,
+    ) -> Result<(), Error> {
+        let beat = read_beat(params.get()?.get_beat()?).map_err(as_failure)?;
+        self.hub.note_riders(&beat);
+        self.hub.event(Event::BeatReceived(beat));
+        self.write_own_beat(results.get().init_beat());
+        Ok(())
+    }
+
+    async fn push(
+        self: Rc<Self>,
+        params: control::PushParams,
+        mut results: control::PushResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let rows = read_rows(params.get_rows()?).map_err(as_failure)?;
+        let from = params.get_from()?.to_str()?.into();
+        self.hub.event(Event::RowsReceived { from, rows });
+        self.write_own_beat(results.get().init_beat());
+        Ok(())
+    }
+
+    async fn pull(
+        self: Rc<Self>,
+        params: control::PullParams,
+        mut results: control::PullResults,
+    ) -> Result<(), Error> {
+        let mut known = IndexMap::new();
+        for entry in params.get()?.get_known()? {
+            let key = entry.get_key()?.to_str()?.to_owned();
+            known.insert(key, Version(entry.get_version()));
+        }
+        let newer = self.newer_rows(&known);
+        write_rows(results.get().init_rows(newer.len() as u32), &newer);
+        Ok(())
+    }
+
+    async fn sheet(
+        self: Rc<Self>,
+        params: control::SheetParams,
+        mut results: control::SheetResults,
+    ) -> Result<(), Error> {
+        let wanted = Version(params.get()?.get_version());
+        let body = self.hub.sheet_body.borrow();
+        let found = body.as_ref().filter(|(version, _)| *version == wanted);
+        let mut reply = results.get();
+        reply.set_found(found.is_some());
+        if let Some((_, body)) = found {
+            reply.set_body(body);
+        }
+        Ok(())
+    }
+}
+
+impl LinkControl {
+    fn write_own_beat(&self, builder: wire::control_capnp::beat::Builder<'_>) {
+        let now = self.hub.clock.now();
+        write_beat(builder, &self.hub.core.borrow().beat(now));
+    }
+
+    fn newer_rows(&self, known: &IndexMap<String, Version>) -> Vec<VersionedRow> {
+        let mut rows = self.hub.core.borrow().all_rows();
+        rows.retain(|row| {
+            let known = known.get(&row.key.to_string());
+            known.is_none_or(|version| row.version > *version)
+        });
+        rows
+    }
+}
+
+fn as_failure(error: WireError) -> Error {
+    Error::failed(error.to_string())
+}
--- /dev/null
+++ b/crates/host/src/token.rs
@@ -0,0 +1,41 @@
+//! Bearer tokens of the administration API.
+
+use crate::settings::{AdminRole, AdminToken};
+use sha2::{Digest, Sha256};
+use std::fmt::Write as _;
+use subtle::ConstantTimeEq;
+
+const PREFIX: &str = "Bearer ";
+
+/// Returns the token that an `Authorization` header presents, if it is known.
+///
+/// Every digest is compared in constant time, whether or not one matched before.
+pub(crate) fn authenticate<'a>(
+    tokens: &'a [AdminToken],
+    header: Option<&str>,
+) -> Option<&'a AdminToken> {
+    let presented = header?.strip_prefix(PREFIX)?;
+    let digest = hex_digest(presented.as_bytes());
+    let mut found = None;
+    for token in tokens {
+        let known = token.sha256.to_ascii_lowercase();
+        if bool::from(known.as_bytes().ct_eq(digest.as_bytes())) {
+            found = Some(token);
+        }
+    }
+    found
+}
+
+/// Returns whether a token's role allows what `needed` does.
+pub(crate) fn allows(token: &AdminToken, needed: AdminRole) -> bool {
+    token.role >= needed
+}
+
+fn hex_digest(bytes: &[u8]) -> String {
+    let mut text = String::with_capacity(64);
+    for byte in Sha256::digest(bytes) {
+        // Writing to a string does not fail.
+        let _infallible = write!(text, "{byte:02x}");
+    }
+    text
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -35,4 +35,4 @@
 
 pub use beat::{read_beat, write_beat};
 pub use error::WireError;
-pub use row::{RowWire, read_row, read_rows, store_row, transaction_to_store, write_rows};
+pub use row::{RowWire, read_row, read_rows, store_row, store_transaction, write_rows};
--- a/crates/wire/src/row.rs
+++ b/crates/wire/src/row.rs
@@ -6,6 +6,7 @@
 use owner::{RowContent, RowKey, TableTransaction, VersionedRow};
 use serde_json::Value;
 use std::sync::Arc;
+use store::StoreTransaction;
 
 /// A row as the table holds it.
 #[derive(Clone, Debug, PartialEq)]
@@ -52,19 +53,17 @@
     })
 }
 
-/// Converts a transaction to checks and JSON writes: `(checks, writes)`.
-pub fn transaction_to_store(
-    transaction: &TableTransaction,
-    mut check: impl FnMut(&str, u64),
-    mut write: impl FnMut(&str, u64, Value),
-) {
+/// Converts a transaction to the table's form.
+pub fn store_transaction(transaction: &TableTransaction) -> StoreTransaction {
+    let mut converted = StoreTransaction::default();
     for (key, version) in &transaction.checks {
-        check(&key.to_string(), version.0);
+        converted.check(&key.to_string(), version.0);
     }
     for row in &transaction.writes {
         let value = content_to_value(&row.content);
-        write(&row.key.to_string(), row.base.0, value);
+        converted.write(&row.key.to_string(), row.base.0, value);
     }
+    converted
 }
 
 /// Writes rows into a list.
