--- a/crates/fake/src/platform_http.rs
+++ b/crates/fake/src/platform_http.rs
@@ -29,13 +29,28 @@
     app.at("/table/commit").post(commit);
     app.at("/objects/:name").get(get_object).put(put_object);
     app.at("/hosts").get(list);
-    async_std::task::spawn(async move {
-        // The listener ends with the process.
-        let _ended = app.listen(listener).await;
-    });
+    async_std::task::spawn(accept(app, listener));
     Ok(address)
 }
 
+/// Accepts connections with `TCP_NODELAY` set.
+///
+/// The listener that comes with `tide` leaves it unset, and answers then wait
+/// for delayed acknowledgements.
+async fn accept(app: tide::Server<DomainView>, listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        let app = app.clone();
+        async_std::task::spawn(async move {
+            let serving = async_h1::accept(stream, |request| app.respond(request));
+            // The connection ends when its client closes it.
+            let _ended = serving.await;
+        });
+    }
+}
+
 impl DomainView {
     /// Delays, and hangs while the platform can't be reached.
     async fn arrive(&self) {
--- a/crates/host/src/admin.rs
+++ b/crates/host/src/admin.rs
@@ -46,10 +46,25 @@
     app.at("/status").get(status);
     app.at("/sheet").get(show_sheet).post(submit_sheet);
     app.at("/drain").post(drain);
-    scope.spawn(async move {
-        // The listener ends with the host.
-        let _ended = app.listen(listener).await;
-    });
+    scope.spawn(accept(app, listener, scope.clone()));
+}
+
+/// Accepts connections with `TCP_NODELAY` set.
+///
+/// The listener that comes with `tide` leaves it unset, and answers then wait
+/// for delayed acknowledgements.
+async fn accept(app: tide::Server<AdminState>, listener: TcpListener, scope: TaskScope) {
+    while let Ok((stream, _)) = listener.accept().await {
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        let app = app.clone();
+        scope.spawn(async move {
+            let serving = async_h1::accept(stream, |request| app.respond(request));
+            // The connection ends when its client closes it.
+            let _ended = serving.await;
+        });
+    }
 }
 
 /// Returns the token's name, or the answer that refuses the request.
