--- a/crates/gate/src/journal.rs
+++ b/crates/gate/src/journal.rs
@@ -17,7 +17,7 @@
 const QUEUE_LIMIT: usize = 4_096;
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 /// Longest wait for an entry to be written before the request is refused.
-const WRITE_PATIENCE: Duration = Duration::from_millis(1_500);
+const WRITE_PATIENCE: Duration = Duration::from_millis(900);
 /// An unanswering table refuses further entries at once for this long.
 const FAILING_SPAN: Duration = Duration::from_millis(400);
 
