--- a/crates/limit/src/admission.rs
+++ b/crates/limit/src/admission.rs
@@ -208,7 +208,7 @@
             RankView {
                 rank,
                 oldest,
-                share: self.usage.share(rank),
+                share: self.usage.share(rank, self.plan.slots),
                 floor: self.plan.floors.share(rank),
             }
         })
--- a/crates/limit/src/policy.rs
+++ b/crates/limit/src/policy.rs
@@ -11,8 +11,8 @@
     pub rank: Rank,
     /// When its oldest eligible request was queued; `None` when none is.
     pub oldest: Option<Moment>,
-    /// Its share of the slot time used lately.
-    pub share: f64,
+    /// Its share of the slot time used lately; `None` while slots are plenty.
+    pub share: Option<f64>,
     /// Its least share.
     pub floor: f64,
 }
@@ -65,7 +65,10 @@
     fn pick(&self, ranks: &[RankView; 3]) -> Option<Rank> {
         let mut neediest: Option<(f64, Rank)> = None;
         for view in ranks {
-            let deficit = view.floor - view.share;
+            let Some(share) = view.share else {
+                continue;
+            };
+            let deficit = view.floor - share;
             if view.oldest.is_none() || deficit <= 0.0 {
                 continue;
             }
--- a/crates/limit/src/usage.rs
+++ b/crates/limit/src/usage.rs
@@ -30,13 +30,12 @@
         *used = (*used + millis).max(0.0);
     }
 
-    /// Returns a rank's share of all use; 0 while nothing has been used.
-    pub fn share(&self, rank: Rank) -> f64 {
+    /// Returns a rank's share of all use, or `None` while less than half of
+    /// `slots` has been in use, when nobody goes short.
+    pub fn share(&self, rank: Rank, slots: u32) -> Option<f64> {
         let total: f64 = self.used_ms.iter().sum();
-        if total <= f64::EPSILON {
-            return 0.0;
-        }
-        self.used_ms[rank.index()] / total
+        let full = f64::from(slots) * MEMORY.as_secs_f64() * 1_000.0;
+        (total > full / 2.0).then(|| self.used_ms[rank.index()] / total)
     }
 
     fn decay(&mut self, now: Moment) {
--- a/crates/owner/src/balance.rs
+++ b/crates/owner/src/balance.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 
 const BALANCE_PERIOD: Duration = Duration::from_millis(500);
+/// A move begins only if the table has answered a read this recently: a shard
+/// whose move can't be committed is served by nobody.
+const TABLE_FRESH: Duration = Duration::from_millis(150);
 /// Loads settle for this long after a move before the next one is weighed.
 const MOVE_PAUSE: Duration = Duration::from_secs(2);
 /// Weight of a new measurement, in percent.
@@ -97,6 +100,17 @@
         }
     }
 
+    /// Returns whether a move may begin, asking for a read of the table if not.
+    fn may_begin_move(&mut self, now: Moment) -> bool {
+        let read_at = self.table.read_started;
+        let is_fresh = read_at.is_some_and(|at| now - at <= TABLE_FRESH);
+        let is_sound = is_fresh && self.table.failing_since.is_none();
+        if !is_fresh {
+            self.table.wants_read = true;
+        }
+        is_sound && self.table.open.is_none()
+    }
+
     fn empty_leaving(&mut self, now: Moment) {
         if self.table.failing_since.is_some() {
             return;
@@ -108,11 +122,13 @@
                 continue;
             }
             let service = held.service.clone();
+            let mut grants = self.assigned_grants(&service, &id);
+            grants.retain(|grant| !self.held[&id].is_withheld(grant.shard));
+            if grants.is_empty() || !self.may_begin_move(now) {
+                continue;
+            }
             let mut candidates = self.candidates(now, &service, &id);
-            for grant in self.assigned_grants(&service, &id) {
-                if self.held[&id].is_withheld(grant.shard) {
-                    continue;
-                }
+            for grant in grants {
                 let Some(target) = self.pick_and_count(&mut candidates) else {
                     break;
                 };
@@ -172,7 +188,7 @@
         let target = (target.id.clone(), target.domain.clone());
         let rounds = self.loads.overloaded_rounds.entry(id.clone()).or_insert(0);
         *rounds += 1;
-        if *rounds < OVERLOADED_ROUNDS {
+        if *rounds < OVERLOADED_ROUNDS || !self.may_begin_move(now) {
             return;
         }
         self.begin_move(now, id, shard, target);
--- a/crates/trial/tests/common/mod.rs
+++ b/crates/trial/tests/common/mod.rs
@@ -56,7 +56,10 @@
 }
 
 /// Builds a charge.
-#[allow(dead_code, reason = "not every test file that shares this module sends charges")]
+#[allow(
+    dead_code,
+    reason = "not every test file that shares this module sends charges"
+)]
 pub fn charge(key: &str, body: &str, headers: &str) -> Vec<u8> {
     format!(
         "POST /abonos/charges HTTP/1.1\r\nhost: t\r\nidempotency-key: {key}\r\n{headers}\
