--- a/crates/owner/src/links.rs
+++ b/crates/owner/src/links.rs
@@ -117,14 +117,16 @@
         if pulled_at.is_some_and(|at| now - at < PULL_PAUSE) {
             return;
         }
-        let Some(address) = self.address_of(from) else {
-            return;
-        };
         self.links.pulled_at.insert(from.clone(), now);
-        self.act(Action::Pull {
-            from: from.clone(),
-            address,
-        });
+        let addresses = match self.address_of(from) {
+            Some(address) => vec![address],
+            // A host that has just started knows no addresses but its seeds'.
+            None => self.bootstrap_links(),
+        };
+        for address in addresses {
+            let from = from.clone();
+            self.act(Action::Pull { from, address });
+        }
     }
 
     /// Returns the address of a host as rows or the platform's list tell it.
