Give signs of work on the peer link; split a path once per look-up

Change: a primary sends interim responses (102) while it works, and only their absence means silence. Cause: the path was split four times and hashed with a streaming hasher. Tried and kept without effect: another hasher.

--- a/crates/fake/src/upstream_server.rs
+++ b/crates/fake/src/upstream_server.rs
@@ -133,7 +133,9 @@
         let answer = respond(state, life, &head, &body).await;
         state.wait_thawed().await;
         if is_silent(life, number) {
-            futures::future::pending::<()>().await;
+            // The work is done and its slot free; the answer is written to nobody.
+            drop(answer);
+            return futures::future::pending::<()>().await;
         }
         if life.is_dead() || !write_answer(state, life, &mut connection, answer).await {
             return;
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -7,7 +7,7 @@
 use async_std::future::timeout;
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use h1::{BodyLength, BodyReader, HeadLimits, ResponseHead, encode_request_head};
+use h1::{BodyLength, BodyReader, HeadLimits, ResponseHead, ResponsePart, encode_request_head};
 use indexmap::IndexMap;
 use kernel::{Cause, Clock, Refusal};
 use parking_lot::RwLock;
@@ -18,9 +18,8 @@
 /// Time beyond the deadline for the primary's own refusal to arrive.
 const GRACE: Duration = Duration::from_millis(100);
 const WATCH_PERIOD: Duration = Duration::from_millis(40);
-/// Idempotent work waits this many times its expected slot time for a head
-/// before its connection is suspected.
-const PATIENCE_FACTOR: u32 = 10;
+/// Between signs that a peer gives while it works on a request.
+pub(crate) const SIGN_PERIOD: Duration = Duration::from_millis(120);
 /// Path that a peer answers at once.
 pub(crate) const PING_PATH: &str = "/trestle-ping";
 const BODY_STALL_LIMIT: Duration = Duration::from_secs(12);
@@ -30,6 +29,7 @@
 pub(crate) struct PeerForwarder {
     clock: Arc<dyn Clock>,
     secret: String,
+    /// Time without a sign of work until a link counts as silent.
     patience: Duration,
     pools: RwLock<IndexMap<String, Arc<ConnectionPool>>>,
 }
@@ -82,6 +82,7 @@
         })
     }
 
+    /// Reads the answer's head while signs of work keep coming.
     async fn read_head(
         &self,
         pool: &ConnectionPool,
@@ -90,35 +91,36 @@
         is_given_up: impl Fn() -> bool,
     ) -> Result<ResponseHead, Refusal> {
         let limits = HeadLimits::default();
-        let pooled_is_reused = !pooled.is_fresh();
-        let mut reading = pooled
-            .connection
-            .read_response(&limits, &order.method)
-            .boxed();
         let end = order.deadline + GRACE;
-        let mut suspect_at = self.clock.now() + self.patience(order);
+        let mut sign_at = self.clock.now();
         loop {
-            let left = end - self.clock.now();
-            if left.is_zero() {
-                return Err(Cause::UpstreamTimeout.into());
-            }
-            match timeout(left.min(WATCH_PERIOD), &mut reading).await {
-                Ok(Ok(head)) => return Ok(head),
-                Ok(Err(_)) => return Err(Cause::PrimaryLost.into()),
-                Err(_elapsed) if is_given_up() => return Err(Cause::PrimaryLost.into()),
-                Err(_elapsed) => {}
-            }
-            let now = self.clock.now();
-            if !order.is_idempotent || now < suspect_at {
-                continue;
-            }
-            suspect_at = now + self.patience(order);
-            // A host that answers on a new connection may still be waiting for
-            // the upstream; only a kept connection is worth the doubt.
-            if pooled_is_reused && pool.works_anew().await {
-                pool.clear();
-                return Err(Cause::ConnectionSilent.into());
+            let mut reading = pooled
+                .connection
+                .read_response_part(&limits, &order.method)
+                .boxed();
+            let part = loop {
+                let now = self.clock.now();
+                let left = end - now;
+                if left.is_zero() {
+                    return Err(Cause::UpstreamTimeout.into());
+                }
+                if now - sign_at > self.patience {
+                    // Connections lost track of are rarely alone.
+                    pool.clear();
+                    return Err(Cause::ConnectionSilent.into());
+                }
+                match timeout(left.min(WATCH_PERIOD), &mut reading).await {
+                    Ok(Ok(part)) => break part,
+                    Ok(Err(_)) => return Err(Cause::PrimaryLost.into()),
+                    Err(_elapsed) if is_given_up() => return Err(Cause::PrimaryLost.into()),
+                    Err(_elapsed) => {}
+                }
+            };
+            if let ResponsePart::Final(head) = part {
+                return Ok(head);
             }
+            drop(reading);
+            sign_at = self.clock.now();
         }
     }
 
@@ -162,11 +164,6 @@
         });
         Arc::clone(pool)
     }
-
-    /// Returns the time without an answer's head until the link is suspected.
-    fn patience(&self, order: &WorkOrder) -> Duration {
-        self.patience.max(order.planned_cost * PATIENCE_FACTOR)
-    }
 }
 
 /// Returns the refusal that a peer's answer carries, if it is one.
--- a/crates/gate/src/ingress.rs
+++ b/crates/gate/src/ingress.rs
@@ -191,8 +191,8 @@
         if snapshot.sheet_version.0 == 0 {
             return Err(Cause::NoConfiguration);
         }
-        let kind = snapshot.routes.find(&head.method, &head.target)?;
-        let limit = kind.plan().max_body_bytes;
+        let found = snapshot.routes.find(&head.method, &head.target)?;
+        let limit = found.kind().plan().max_body_bytes;
         let taken = self.shared.body_bytes.load(Ordering::Relaxed);
         if taken + limit > self.shared.parts.limits.max_body_bytes {
             return Err(Cause::HostBusy);
@@ -254,8 +254,9 @@
     ) -> Result<(KindRoute, WorkOrder), Refusal> {
         let snapshot = self.shared.parts.snapshots.load();
         let CallerRequest { head, body, .. } = request;
-        let kind = snapshot.routes.find(&head.method, &head.target)?;
-        let key = kind.key(&head.target, |name| head.headers.get(name))?;
+        let found = snapshot.routes.find(&head.method, &head.target)?;
+        let key = found.key(|name| head.headers.get(name))?;
+        let kind = found.kind();
         let shard = key.and_then(|key| kind.shard(key));
         let customer = customer_of(&head)?;
         let deadline = request.received_at + time_limit(&head, kind);
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::{Answer, AnswerBody, is_hop_header};
 use crate::desks::PrimaryDesks;
-use crate::forward::PING_PATH;
+use crate::forward::{PING_PATH, SIGN_PERIOD};
 use crate::limits::GateLimits;
 use crate::order::WorkOrder;
 use async_std::net::{TcpListener, TcpStream};
@@ -111,9 +111,7 @@
                 self.desks.shared.metrics.malformed.inc();
                 return;
             };
-            let watched = connection.stream().clone();
-            let serving = self.desks.serve(order);
-            let Some(outcome) = until_gone(&watched, serving).await else {
+            let Some(outcome) = self.serve_with_signs(&mut connection, order).await else {
                 return;
             };
             if !write_outcome(&mut connection, &head, outcome).await {
@@ -129,6 +127,28 @@
     headers
 }
 
+/// An interim response, by which the near end tells a silent connection from
+/// one whose request waits for its slot.
+const SIGN: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
+
+impl PeerServer {
+    /// Serves an order, giving signs of work; `None` when the peer has gone.
+    async fn serve_with_signs(
+        &self,
+        connection: &mut Connection<TcpStream>,
+        order: WorkOrder,
+    ) -> Option<Result<Answer, Refusal>> {
+        let watched = connection.stream().clone();
+        let mut serving = std::pin::pin!(until_gone(&watched, self.desks.serve(order)));
+        loop {
+            match async_std::future::timeout(SIGN_PERIOD, &mut serving).await {
+                Ok(outcome) => return outcome,
+                Err(_elapsed) => connection.write(SIGN).await.ok()?,
+            }
+        }
+    }
+}
+
 /// Waits for `work`, or drops it and returns `None` once the peer has closed.
 pub(crate) async fn until_gone<T>(stream: &TcpStream, work: impl Future<Output = T>) -> Option<T> {
     use futures::future::{Either, select};
--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -25,13 +25,6 @@
     is_fresh: bool,
 }
 
-impl PooledConnection {
-    /// Returns whether it has carried no exchange yet.
-    pub const fn is_fresh(&self) -> bool {
-        self.is_fresh
-    }
-}
-
 /// Kept connections to one address.
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
--- a/crates/h1/src/connection.rs
+++ b/crates/h1/src/connection.rs
@@ -1,7 +1,9 @@
 //! A buffered connection that reads messages.
 
 use crate::head::{parse_request, parse_response};
-use crate::{BodyLength, BodyReader, Error, HeadLimits, RequestHead, ResponseHead, Result};
+use crate::{
+    BodyLength, BodyReader, Error, HeadLimits, RequestHead, ResponseHead, ResponsePart, Result,
+};
 use futures::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use std::fmt;
 
@@ -86,19 +88,34 @@
         method: &str,
     ) -> Result<ResponseHead> {
         loop {
-            let Some(end) = self.read_head_bytes(limits).await? else {
-                return Err(Error::Truncated);
-            };
-            let head = parse_response(&self.buffered()[..end], limits, method);
-            self.consume(end);
-            let head = head?;
-            if (100..200).contains(&head.status) {
-                continue;
+            if let ResponsePart::Final(head) = self.read_response_part(limits, method).await? {
+                return Ok(head);
             }
-            return Ok(head);
         }
     }
 
+    /// Reads the next response to a request of method `method`, interim or final.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the head is malformed, ambiguous, too large or cut short.
+    pub async fn read_response_part(
+        &mut self,
+        limits: &HeadLimits,
+        method: &str,
+    ) -> Result<ResponsePart> {
+        let Some(end) = self.read_head_bytes(limits).await? else {
+            return Err(Error::Truncated);
+        };
+        let head = parse_response(&self.buffered()[..end], limits, method);
+        self.consume(end);
+        let head = head?;
+        if (100..200).contains(&head.status) {
+            return Ok(ResponsePart::Interim);
+        }
+        Ok(ResponsePart::Final(head))
+    }
+
     /// Reads a whole body of at most `limit` bytes.
     ///
     /// # Errors
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -101,6 +101,15 @@
     pub keeps_alive: bool,
 }
 
+/// What a peer sends in answer to a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ResponsePart {
+    /// An interim response (1xx): the peer is at work.
+    Interim,
+    /// The final response's head.
+    Final(ResponseHead),
+}
+
 /// Parses a request's head, which must be complete in `bytes`.
 pub(crate) fn parse_request(bytes: &[u8], limits: &HeadLimits) -> Result<RequestHead> {
     let mut lines = vec![httparse::EMPTY_HEADER; limits.headers];
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -28,5 +28,5 @@
 pub use body::{BodyLength, BodyReader};
 pub use connection::Connection;
 pub use error::{Error, Result};
-pub use head::{HeadLimits, HeaderList, RequestHead, ResponseHead};
+pub use head::{HeadLimits, HeaderList, RequestHead, ResponseHead, ResponsePart};
 pub use write::{encode_request_head, encode_response_head, reason_phrase};
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -13,13 +13,14 @@
 //!     "timeout_ms": 500, "cost_ms": 5 }] } } }"#).unwrap();
 //! let table = RouteTable::compile(&sheet);
 //! let matched = table.find("GET", "/mapview/charts/golfo?zoom=3").unwrap();
-//! let key = matched.key("/mapview/charts/golfo?zoom=3", |_| None).unwrap();
+//! let key = matched.key(|_| None).unwrap();
 //! assert_eq!(key, Some("golfo"));
-//! assert!(matched.shard("golfo").unwrap().0 < 16);
+//! assert!(matched.kind().shard("golfo").unwrap().0 < 16);
 //! ```
 
 mod owners;
+mod parts;
 mod rules;
 
 pub use owners::{OwnerTable, PrimaryAddress, ShardSlot, UpstreamSlot};
-pub use rules::{KindRoute, RouteTable, ServiceRoute};
+pub use rules::{KindRoute, RouteMatch, RouteTable, ServiceRoute};
--- a/crates/route/src/owners.rs
+++ b/crates/route/src/owners.rs
@@ -1,9 +1,9 @@
 //! Owners of shards and primaries of upstreams, as traffic sees them.
 
+use foldhash::fast::FixedState;
 use indexmap::IndexMap;
 use kernel::{DomainName, Epoch, HostId, ServiceName, ShardId, UpstreamId};
 use owner::{DomainRow, ShardOwner, UpstreamState};
-use xxhash_rust::xxh3::Xxh3DefaultBuilder;
 
 /// A host that is the primary of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -49,8 +49,8 @@
 /// Owners of all shards and primaries of all upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct OwnerTable {
-    upstreams: IndexMap<UpstreamId, UpstreamSlot, Xxh3DefaultBuilder>,
-    services: IndexMap<ServiceName, ServiceOwners, Xxh3DefaultBuilder>,
+    upstreams: IndexMap<UpstreamId, UpstreamSlot, FixedState>,
+    services: IndexMap<ServiceName, ServiceOwners, FixedState>,
 }
 
 #[derive(Clone, Debug, Default)]
--- a/crates/route/src/rules.rs
+++ b/crates/route/src/rules.rs
@@ -1,17 +1,18 @@
 //! Rules from methods and paths to kinds of work.
 
+use crate::parts::PathParts;
+use foldhash::fast::FixedState;
 use indexmap::IndexMap;
 use kernel::{Cause, ServiceName, ShardId};
 use owner::shard_of_key;
 use sheet::{JournalPolicy, KeyPlace, KindPlan, Rank, ServicePlan, Sheet};
-use std::hash::{Hash, Hasher};
+use std::hash::{BuildHasher, Hash, Hasher};
 use std::time::Duration;
-use xxhash_rust::xxh3::{Xxh3, Xxh3DefaultBuilder};
 
 /// All services' rules.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
-    services: IndexMap<String, ServiceRoute, Xxh3DefaultBuilder>,
+    services: IndexMap<String, ServiceRoute, FixedState>,
 }
 
 /// One service's rules.
@@ -21,11 +22,19 @@
     shards: Option<u32>,
     kinds: Vec<KindRoute>,
     /// Kinds by hash of method, number of parts and first literal part.
-    index: IndexMap<u64, Vec<usize>, Xxh3DefaultBuilder>,
+    index: IndexMap<u64, Vec<usize>, FixedState>,
     /// Kinds whose first part is a parameter or whose last is a rest.
     unindexed: Vec<usize>,
 }
 
+/// A request's kind of work, and what its target says.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteMatch<'a> {
+    kind: &'a KindRoute,
+    target: &'a str,
+    parts: PathParts<'a>,
+}
+
 /// One kind of work.
 #[derive(Clone, Debug)]
 pub struct KindRoute {
@@ -34,6 +43,8 @@
     journal: JournalPolicy,
     plan: KindPlan,
     parts: Vec<PathPart>,
+    /// Position of the part that holds the key.
+    key_part: Option<usize>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -59,11 +70,16 @@
     /// # Errors
     ///
     /// Fails when no service has that name or no kind matches.
-    pub fn find(&self, method: &str, target: &str) -> Result<&KindRoute, Cause> {
-        let path = path_of(target);
-        let (service, rest) = split_first(path);
+    pub fn find<'a>(&'a self, method: &str, target: &'a str) -> Result<RouteMatch<'a>, Cause> {
+        let parts = PathParts::of(target);
+        let service = parts.get(0).unwrap_or_default();
         let route = self.services.get(service).ok_or(Cause::NoSuchService)?;
-        route.find(method, rest).ok_or(Cause::NoSuchKind)
+        let kind = route.find(method, &parts).ok_or(Cause::NoSuchKind)?;
+        Ok(RouteMatch {
+            kind,
+            target,
+            parts,
+        })
     }
 
     /// Returns a service's rules.
@@ -94,6 +110,7 @@
                 shards,
                 journal: plan.journal,
                 plan: kind.clone(),
+                key_part: key_part(kind, &parts),
                 parts,
             });
         }
@@ -115,13 +132,42 @@
         self.kinds.iter().find(|kind| kind.plan.name == name)
     }
 
-    fn find(&self, method: &str, rest: &str) -> Option<&KindRoute> {
-        let count = rest.split('/').skip(1).count();
-        let (first, _) = split_first(rest);
-        let indexed = self.index.get(&index_hash(method, count, first));
-        let candidates = indexed.into_iter().flatten().chain(&self.unindexed);
-        let mut kinds = candidates.map(|number| &self.kinds[*number]);
-        kinds.find(|kind| kind.plan.method == method && kind.matches(rest))
+    fn find(&self, method: &str, parts: &PathParts<'_>) -> Option<&KindRoute> {
+        let first = parts.get(1).unwrap_or_default();
+        let hash = index_hash(method, parts.len().saturating_sub(1), first);
+        let indexed = self.index.get(&hash).into_iter().flatten();
+        let mut kinds = indexed
+            .chain(&self.unindexed)
+            .map(|number| &self.kinds[*number]);
+        kinds.find(|kind| kind.plan.method == method && kind.matches(parts))
+    }
+}
+
+impl<'a> RouteMatch<'a> {
+    /// Returns the kind of work.
+    pub fn kind(&self) -> &'a KindRoute {
+        self.kind
+    }
+
+    /// Returns the request's key, or `None` when the kind has none.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the kind has a key and the request lacks it.
+    pub fn key(&self, header: impl Fn(&str) -> Option<&'a str>) -> Result<Option<&'a str>, Cause> {
+        let Some(place) = &self.kind.plan.key else {
+            return Ok(None);
+        };
+        let found = match place {
+            // The service's name comes before the kind's own parts.
+            KeyPlace::Path(_) => self.kind.key_part.and_then(|part| self.parts.get(part + 1)),
+            KeyPlace::Query(name) => query_value(self.target, name),
+            KeyPlace::Header(name) => header(name),
+        };
+        match found.filter(|key| !key.is_empty()) {
+            Some(key) => Ok(Some(key)),
+            None => Err(Cause::MissingKey),
+        }
     }
 }
 
@@ -161,41 +207,9 @@
         self.shards.map(|shards| shard_of_key(key, shards))
     }
 
-    /// Returns the request's key, or `None` when the kind has none.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the kind has a key and the request lacks it.
-    pub fn key<'a>(
-        &self,
-        target: &'a str,
-        header: impl Fn(&str) -> Option<&'a str>,
-    ) -> Result<Option<&'a str>, Cause> {
-        let Some(place) = &self.plan.key else {
-            return Ok(None);
-        };
-        let found = match place {
-            KeyPlace::Path(name) => self.path_value(path_of(target), name),
-            KeyPlace::Query(name) => query_value(target, name),
-            KeyPlace::Header(name) => header(name),
-        };
-        match found.filter(|key| !key.is_empty()) {
-            Some(key) => Ok(Some(key)),
-            None => Err(Cause::MissingKey),
-        }
-    }
-
-    fn path_value<'a>(&self, path: &'a str, name: &str) -> Option<&'a str> {
-        let is_wanted = |part: &PathPart| matches!(part, PathPart::Parameter(n) if n == name);
-        let position = self.parts.iter().position(is_wanted)?;
-        // The service's name comes before the kind's own parts.
-        path.split('/').nth(position + 2)
-    }
-
-    fn matches(&self, rest: &str) -> bool {
-        let mut given = rest.split('/').skip(1);
-        for part in &self.parts {
-            let Some(text) = given.next() else {
+    fn matches(&self, given: &PathParts<'_>) -> bool {
+        for (index, part) in self.parts.iter().enumerate() {
+            let Some(text) = given.get(index + 1) else {
                 return false;
             };
             match part {
@@ -205,7 +219,7 @@
                 PathPart::Parameter(_) | PathPart::Literal(_) => {}
             }
         }
-        given.next().is_none()
+        given.len() == self.parts.len() + 1
     }
 }
 
@@ -224,6 +238,15 @@
     parts
 }
 
+fn key_part(kind: &KindPlan, parts: &[PathPart]) -> Option<usize> {
+    let Some(KeyPlace::Path(name)) = &kind.key else {
+        return None;
+    };
+    parts
+        .iter()
+        .position(|part| matches!(part, PathPart::Parameter(known) if known == name))
+}
+
 fn index_hash_of(method: &str, parts: &[PathPart]) -> Option<u64> {
     if parts.last() == Some(&PathPart::Rest) {
         return None;
@@ -235,26 +258,13 @@
 }
 
 fn index_hash(method: &str, parts: usize, first: &str) -> u64 {
-    let mut hasher = Xxh3::new();
+    let mut hasher = FixedState::default().build_hasher();
     method.hash(&mut hasher);
     parts.hash(&mut hasher);
     first.hash(&mut hasher);
     hasher.finish()
 }
 
-fn path_of(target: &str) -> &str {
-    target.split_once('?').map_or(target, |(path, _)| path)
-}
-
-/// Splits `/first/rest` into `first` and `/rest`.
-fn split_first(path: &str) -> (&str, &str) {
-    let path = path.strip_prefix('/').unwrap_or(path);
-    match path.find('/') {
-        Some(at) => path.split_at(at),
-        None => (path, ""),
-    }
-}
-
 fn query_value<'a>(target: &'a str, name: &str) -> Option<&'a str> {
     let (_, query) = target.split_once('?')?;
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
--- a/crates/route/tests/lookup.rs
+++ b/crates/route/tests/lookup.rs
@@ -37,9 +37,9 @@
 ) {
     let table = table();
     let found = table.find(method, target).unwrap();
-    assert_eq!(found.plan().name, kind);
+    assert_eq!(found.kind().plan().name, kind);
     let header = |name: &str| (name == "x-region").then_some("from-header");
-    assert_eq!(found.key(target, header), Ok(Some(key)));
+    assert_eq!(found.key(header), Ok(Some(key)));
 }
 
 #[rstest]
@@ -58,10 +58,7 @@
 fn lookup_missing_key() {
     let table = table();
     let found = table.find("GET", "/mapview/search?q=").unwrap();
-    assert_eq!(
-        found.key("/mapview/search?q=", |_| None),
-        Err(Cause::MissingKey)
-    );
+    assert_eq!(found.key(|_| None), Err(Cause::MissingKey));
 }
 
 #[test]
