--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -16,6 +16,8 @@
 const CANCEL_LIMIT: Duration = Duration::from_millis(150);
 const BODY_STALL_LIMIT: Duration = Duration::from_secs(10);
 const WRITE_LIMIT: Duration = Duration::from_secs(5);
+/// Work that must not run twice waits this many times longer.
+const CHARGE_PATIENCE: u32 = 3;
 /// Idempotent work waits this many times its expected slot time for a head
 /// before its connection is suspected.
 const PATIENCE_FACTOR: u32 = 8;
@@ -112,18 +114,18 @@
             .connection
             .read_response(&limits, &order.method)
             .boxed();
-        let patience = Duration::from_millis(self.limits.probe_ms)
+        let mut patience = Duration::from_millis(self.limits.probe_ms)
             .max(desk.expected_cost(order) * PATIENCE_FACTOR);
+        if !order.is_idempotent {
+            // A charge given up may still run, so its caller is told later.
+            patience *= CHARGE_PATIENCE;
+        }
         loop {
             let left = order.deadline - self.clock.now();
             if left.is_zero() {
                 return Err(Cause::UpstreamTimeout.into());
             }
-            let step = if order.is_idempotent {
-                left.min(patience)
-            } else {
-                left
-            };
+            let step = left.min(patience);
             match timeout(step, &mut reading).await {
                 Ok(Ok(head)) => return Ok(head),
                 Ok(Err(h1::Error::Malformed(_) | h1::Error::HeadTooLarge)) => {
@@ -133,10 +135,10 @@
                 Err(_elapsed) if step == left => return Err(Cause::UpstreamTimeout.into()),
                 Err(_elapsed) => {}
             }
-            // Only idempotent work comes here. It may run elsewhere once the
-            // upstream has lost its lease, or its connection is the culprit.
+            // Idempotent work may run elsewhere once the upstream has lost its
+            // lease, and any work is judged once its connection is the culprit.
             let has_lapsed = desk.lease.check(self.clock.now()).is_err();
-            if has_lapsed {
+            if has_lapsed && order.is_idempotent {
                 return Err(Cause::ConnectionSilent.into());
             }
             desk.pool.clear();
--- a/crates/trestlectl/src/main.rs
+++ b/crates/trestlectl/src/main.rs
@@ -2,6 +2,8 @@
 
 mod admin;
 mod sheets;
+mod slopes;
+mod traces;
 mod trials;
 
 use eyre::Report;
@@ -15,6 +17,8 @@
     sheet show              show the sheet in force
     status                  show a host's state
     drain [UPSTREAM]        drain an upstream, or the host itself
+    replay TRACE            play a trace against its stated outcomes
+    slopes                  measure what control costs, by size
     trial                   run a small deployment on loopback
 
 `trestlectl COMMAND --help` lists a command's options.
@@ -67,6 +71,8 @@
         "sheet" => sheets::run(rest),
         "status" => admin::status(rest),
         "drain" => admin::drain(rest),
+        "replay" => traces::run(rest),
+        "slopes" => slopes::run(rest),
         "trial" => trials::run(rest),
         "-h" | "--help" => {
             println!("{USAGE}");
--- /dev/null
+++ b/crates/trestlectl/src/traces.rs
@@ -0,0 +1,34 @@
+//! `trestlectl replay`.
+
+use crate::CommandError;
+use crate::admin::parse;
+use eyre::{WrapErr, eyre};
+use getopts::Options;
+use replay::run_trace;
+
+const USAGE: &str = "usage: trestlectl replay TRACE...";
+
+/// Plays traces against their stated outcomes.
+pub(crate) fn run(arguments: &[String]) -> Result<(), CommandError> {
+    let mut options = Options::new();
+    options.optflag("h", "help", "print this help");
+    let Some(matches) = parse(&options, USAGE, arguments)? else {
+        return Ok(());
+    };
+    if matches.free.is_empty() {
+        return Err(CommandError::Usage(USAGE.to_owned()));
+    }
+    let mut failures = Vec::new();
+    for path in &matches.free {
+        let text =
+            std::fs::read_to_string(path).wrap_err_with(|| format!("{path}: can't be read"))?;
+        match run_trace(&text) {
+            Ok(checked) => println!("{path}: {checked} outcomes as stated"),
+            Err(error) => failures.push(format!("{path}: {error}")),
+        }
+    }
+    if failures.is_empty() {
+        return Ok(());
+    }
+    Err(eyre!("outcomes differ\n{}", failures.join("\n")).into())
+}
--- a/crates/trestlectl/src/trials.rs
+++ b/crates/trestlectl/src/trials.rs
@@ -42,7 +42,7 @@
     }
 }
 
-fn start_log(is_verbose: bool) -> Result<(), CommandError> {
+pub(crate) fn start_log(is_verbose: bool) -> Result<(), CommandError> {
     let mut config = ConfigBuilder::new();
     config.set_time_format_rfc3339();
     config.set_thread_level(LevelFilter::Off);
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -19,6 +19,7 @@
 mod record;
 mod report;
 mod run;
+mod slopes;
 mod watch;
 
 pub use deploy::{ADMIN_TOKEN, Deployment, RunningHost};
@@ -26,3 +27,4 @@
 pub use plan::{InstancePlan, LoadPlan, TrialPlan};
 pub use report::{PathCost, RankReport, TrialReport, UnavailableReport};
 pub use run::{TrialOptions, run_trial};
+pub use slopes::{SlopeFit, SlopePoint, SlopeReport, SlopeSize, measure_slopes};
