Spend less on control; tell drains from the list's word

Cause: every heartbeat and lease reply evaluated all proposals, which cloned the domain rows, and grants were collected from the assignment row at each renewal. Change: proposals at ticks and on news only, grants derived once per version, heartbeats and renewals every 90 ms, the list polled by one host per domain. An upstream listed as leaving and then as live stayed unused: the row's state now follows the list, and operators' drains are a state of their own (trace upstream_leaves).

--- a/crates/host/src/hub.rs
+++ b/crates/host/src/hub.rs
@@ -16,11 +16,11 @@
 use std::time::Duration;
 use store::{HostLister, JsonClient, ObjectStore, TableStore};
 
-const TICK: Duration = Duration::from_millis(5);
+const TICK: Duration = Duration::from_millis(8);
 const LOAD_PERIOD: Duration = Duration::from_millis(500);
 const LIST_PERIOD: Duration = Duration::from_millis(400);
 /// Hosts that do not read on behalf of their domain poll the list less often.
-const LIST_BACKGROUND_FACTOR: u32 = 4;
+const LIST_BACKGROUND_FACTOR: u32 = 16;
 
 /// The platform's services as the control thread uses them.
 #[derive(Clone, Debug)]
@@ -110,8 +110,11 @@
         async_std::task::spawn_local(async move {
             let mut round = 0_u32;
             while ticks.next().await.is_some() && !hub.scope.is_closed() {
-                let is_reader = hub.core.borrow().is_reader(hub.clock.now());
-                let is_due = is_reader || round.is_multiple_of(LIST_BACKGROUND_FACTOR);
+                let now = hub.clock.now();
+                let is_reader = hub.core.borrow().is_reader(now);
+                // What a reader writes down reaches nobody while the table is down.
+                let is_alone = hub.core.borrow().status(now).table_failing_for.is_some();
+                let is_due = is_reader || is_alone || round.is_multiple_of(LIST_BACKGROUND_FACTOR);
                 round = round.wrapping_add(1);
                 if !is_due {
                     continue;
@@ -229,7 +232,7 @@
                 domain: domain.clone(),
                 primary: entry.primary.clone(),
                 epoch: entry.epoch,
-                is_leaving: entry.state == UpstreamState::Leaving,
+                is_leaving: entry.state != UpstreamState::Live,
                 shards,
                 is_usable: leases.get(id).copied(),
             });
--- a/crates/owner/src/balance.rs
+++ b/crates/owner/src/balance.rs
@@ -1,7 +1,7 @@
 //! Measured loads and the planned moves that follow from them.
 
 use crate::held::ShardMove;
-use crate::{ControlCore, PlacementView, UpstreamStanding, UpstreamState};
+use crate::{AssignRow, ControlCore, PlacementView, UpstreamStanding, UpstreamState};
 use indexmap::IndexMap;
 use kernel::{DomainName, Moment, ServiceName, ShardId, UpstreamId};
 use std::time::Duration;
@@ -122,7 +122,7 @@
                 continue;
             }
             let service = held.service.clone();
-            let mut grants = self.assigned_grants(&service, &id);
+            let mut grants = self.assigned_grants(&service, &id).to_vec();
             grants.retain(|grant| !self.held[&id].is_withheld(grant.shard));
             if grants.is_empty() || !self.may_begin_move(now) {
                 continue;
@@ -258,13 +258,13 @@
             let Some(entry) = row.upstreams.get(id) else {
                 continue;
             };
-            if entry.service != *service || entry.state == UpstreamState::Leaving {
+            if entry.service != *service || entry.state != UpstreamState::Live {
                 return None;
             }
             let shards = self
                 .rows
                 .assign(service, domain)
-                .map_or(0, |row| crate::core::grants_in(row, id).len() as u32);
+                .map_or(0, |row| count_shards(row, id));
             return Some(UpstreamStanding {
                 id: id.clone(),
                 domain: domain.clone(),
@@ -277,6 +277,14 @@
     }
 }
 
+fn count_shards(row: &AssignRow, upstream: &UpstreamId) -> u32 {
+    let owned = row
+        .shards
+        .values()
+        .filter(|entry| entry.upstream == *upstream);
+    owned.count() as u32
+}
+
 fn mean_shard_load(candidates: &[UpstreamStanding]) -> u32 {
     let shards: u32 = candidates.iter().map(|c| c.shards).sum();
     let load: u32 = candidates.iter().map(|c| c.slot_ms).sum();
--- a/crates/owner/src/bootstrap.rs
+++ b/crates/owner/src/bootstrap.rs
@@ -78,25 +78,36 @@
     }
 
     /// Writes down which upstreams are leaving, or are back.
-    pub(crate) fn propose_states(&self) -> Option<Proposal> {
+    pub(crate) fn propose_states(&self, now: Moment) -> Option<Proposal> {
+        let reads_list = self.is_reader(now);
         for (domain, row) in self.rows.domains() {
-            let mut next = DomainRow::clone(row);
-            let mut is_changed = false;
-            for (id, entry) in &mut next.upstreams {
-                let wanted = match self.drains.get(id) {
-                    Some(true) => UpstreamState::Leaving,
-                    Some(false) => UpstreamState::Live,
-                    None if entry.primary == self.me && self.is_listed_leaving(id) => {
-                        UpstreamState::Leaving
-                    }
-                    None => entry.state,
+            let mut changes = Vec::new();
+            for (id, entry) in &row.upstreams {
+                let is_own = *domain == self.domain;
+                // The reader polls the list often, the primary must know soon.
+                let follows_list = is_own && (reads_list || entry.primary == self.me);
+                let listed = self.listed_leaving(id).filter(|_| follows_list);
+                let wanted = match (self.drains.get(id), entry.state, listed) {
+                    (Some(true), ..) => UpstreamState::Drained,
+                    (Some(false), UpstreamState::Drained, _) => UpstreamState::Live,
+                    (_, UpstreamState::Drained, _) => UpstreamState::Drained,
+                    (_, _, Some(true)) => UpstreamState::Leaving,
+                    (_, _, Some(false)) => UpstreamState::Live,
+                    (_, state, None) => state,
                 };
-                is_changed |= entry.state != wanted;
-                entry.state = wanted;
+                if entry.state != wanted {
+                    changes.push((id, wanted));
+                }
             }
-            if !is_changed {
+            if changes.is_empty() {
                 continue;
             }
+            let mut next = DomainRow::clone(row);
+            for (id, wanted) in changes {
+                if let Some(entry) = next.upstreams.get_mut(id) {
+                    entry.state = wanted;
+                }
+            }
             let key = RowKey::Domain(domain.clone());
             let write = self.write_over(key, RowContent::Domain(Arc::new(next)));
             return Some(Proposal::of_write(write));
--- a/crates/owner/src/claim.rs
+++ b/crates/owner/src/claim.rs
@@ -14,19 +14,26 @@
         if !self.may_claim(now, row) {
             return None;
         }
-        let mut next = DomainRow::clone(row);
-        let mut claimed = 0;
-        for (id, entry) in &mut next.upstreams {
-            if !self.is_successor(now, row, id, &entry.primary) {
-                continue;
+        let mut orphans = Vec::new();
+        for (id, entry) in &row.upstreams {
+            if self.is_successor(now, row, id, &entry.primary) {
+                orphans.push(id);
             }
-            claim(entry, &self.me);
-            claimed += 1;
         }
-        claimed += self.register_new(now, row, &mut next);
-        if claimed == 0 {
+        let news = self.new_upstreams(now, row);
+        if orphans.is_empty() && news.is_empty() {
             return None;
         }
+        let mut next = DomainRow::clone(row);
+        for id in orphans {
+            if let Some(entry) = next.upstreams.get_mut(id) {
+                claim(entry, &self.me);
+            }
+        }
+        for upstream in news {
+            let entry = new_entry(upstream, &self.me);
+            next.upstreams.insert(upstream.id.clone(), entry);
+        }
         Some(Proposal::of_write(self.write_own_row(next)))
     }
 
@@ -114,11 +121,12 @@
         true
     }
 
-    fn register_new(&self, now: Moment, row: &DomainRow, next: &mut DomainRow) -> usize {
+    /// Returns listed upstreams that no row has and that this host comes first for.
+    fn new_upstreams(&self, now: Moment, row: &DomainRow) -> Vec<&PlatformUpstream> {
         let Some(list) = &self.list else {
-            return 0;
+            return Vec::new();
         };
-        let mut registered = 0;
+        let mut news = Vec::new();
         for upstream in &list.upstreams {
             let is_news = upstream.domain == self.domain
                 && !upstream.is_leaving
@@ -127,14 +135,11 @@
                 continue;
             }
             let choice = self.first_choice(now, upstream.id.as_str(), row.hosts.keys());
-            if choice != Some(&self.me) {
-                continue;
+            if choice == Some(&self.me) {
+                news.push(upstream);
             }
-            let entry = new_entry(upstream, &self.me);
-            next.upstreams.insert(upstream.id.clone(), entry);
-            registered += 1;
         }
-        registered
+        news
     }
 }
 
--- a/crates/owner/src/core.rs
+++ b/crates/owner/src/core.rs
@@ -1,13 +1,14 @@
 //! The control state machine.
 
+use crate::assigned::AssignedBook;
 use crate::balance::LoadBook;
 use crate::held::HeldUpstream;
 use crate::links::LinkPlan;
 use crate::table::TableState;
 use crate::{
-    Action, AssignRow, CommitId, CommitOutcome, DomainRow, Event, HostAddress, LeaseOrder,
-    LeaseResult, PlacementPolicy, PlatformList, RowBook, RowContent, RowKey, ShardGrant, Timing,
-    UpstreamState, VersionedRow, grant_tag,
+    Action, CommitId, CommitOutcome, DomainRow, Event, HostAddress, LeaseOrder, LeaseResult,
+    PlacementPolicy, PlatformList, RowBook, RowContent, RowKey, ShardGrant, Timing, UpstreamState,
+    VersionedRow, grant_tag,
 };
 use indexmap::IndexMap;
 use kernel::{DomainName, Epoch, HostId, Moment, ServiceName, UpstreamId, Version};
@@ -40,6 +41,7 @@
     pub(crate) last_tick: Moment,
     pub(crate) is_leaving: bool,
     pub(crate) rows: RowBook,
+    pub(crate) assigned: AssignedBook,
     pub(crate) peers: PeerTable,
     pub(crate) links: LinkPlan,
     pub(crate) list: Option<PlatformList>,
@@ -97,6 +99,7 @@
             last_tick: now,
             is_leaving: false,
             rows: RowBook::default(),
+            assigned: AssignedBook::default(),
             peers: PeerTable::new(timing.silence()),
             links: LinkPlan::default(),
             list: None,
@@ -184,6 +187,15 @@
 
     /// Takes in an event.
     pub fn handle(&mut self, now: Moment, event: Event) {
+        // Heartbeats and lease replies are frequent; what follows from them is
+        // proposed at the next tick.
+        let is_frequent = matches!(
+            event,
+            Event::BeatReceived(_)
+                | Event::BeatAcknowledged { .. }
+                | Event::PushAcknowledged(_)
+                | Event::LeaseAnswered { .. }
+        );
         match event {
             Event::Tick => self.tick(now),
             Event::BeatReceived(beat) | Event::PushAcknowledged(beat) => {
@@ -213,7 +225,9 @@
                 self.drains.insert(upstream, is_leaving);
             }
         }
-        self.propose(now);
+        if !is_frequent {
+            self.propose(now);
+        }
     }
 
     /// Returns the heartbeat to send now.
@@ -256,11 +270,8 @@
         &self,
         service: &ServiceName,
         upstream: &UpstreamId,
-    ) -> Vec<ShardGrant> {
-        let Some(row) = self.rows.assign(service, &self.domain) else {
-            return Vec::new();
-        };
-        grants_in(row, upstream)
+    ) -> Arc<[ShardGrant]> {
+        self.assigned.of(service, upstream)
     }
 
     fn tick(&mut self, now: Moment) {
@@ -315,9 +326,16 @@
         let mut news = Vec::new();
         for row in rows {
             self.check_growth(row);
-            if self.rows.learn(row) {
-                news.push(row.clone());
+            if !self.rows.learn(row) {
+                continue;
+            }
+            if let (RowKey::Assign(service, domain), RowContent::Assign(content)) =
+                (&row.key, &row.content)
+                && *domain == self.domain
+            {
+                self.assigned.follow(service, content);
             }
+            news.push(row.clone());
         }
         if news.is_empty() {
             return;
@@ -327,6 +345,7 @@
         self.clear_committing();
         self.note_own_row(now);
         self.drop_finished_moves();
+        self.forget_written_drains();
         self.load_sheet_if_newer();
         self.push_news(now, &news, source);
     }
@@ -574,17 +593,25 @@
         let in_row = self
             .own_row()
             .and_then(|row| row.upstreams.get(id))
-            .is_some_and(|entry| entry.state == UpstreamState::Leaving);
-        in_row || self.is_listed_leaving(id)
+            .is_some_and(|entry| entry.state != UpstreamState::Live);
+        in_row || self.listed_leaving(id) == Some(true)
     }
 
-    pub(crate) fn is_listed_leaving(&self, id: &UpstreamId) -> bool {
-        let Some(list) = &self.list else {
-            return false;
-        };
-        list.upstreams
-            .iter()
-            .any(|upstream| upstream.id == *id && upstream.is_leaving)
+    /// Returns what the platform's list says of an upstream, if it names it.
+    pub(crate) fn listed_leaving(&self, id: &UpstreamId) -> Option<bool> {
+        let mut upstreams = self.list.as_ref()?.upstreams.iter();
+        let listed = upstreams.find(|upstream| upstream.id == *id)?;
+        Some(listed.is_leaving)
+    }
+
+    /// Forgets operators' drains that a row holds by now.
+    fn forget_written_drains(&mut self) {
+        let rows = &self.rows;
+        self.drains.retain(|id, is_drained| {
+            let mut domains = rows.domains();
+            let entry = domains.find_map(|(_, row)| row.upstreams.get(id));
+            entry.is_some_and(|entry| (entry.state == UpstreamState::Drained) != *is_drained)
+        });
     }
 
     /// Returns loads of held upstreams that can be used now.
@@ -604,21 +631,6 @@
     }
 }
 
-pub(crate) fn grants_in(row: &AssignRow, upstream: &UpstreamId) -> Vec<ShardGrant> {
-    let mut grants = Vec::new();
-    for (shard, entry) in &row.shards {
-        if entry.upstream != *upstream {
-            continue;
-        }
-        grants.push(ShardGrant {
-            shard: *shard,
-            epoch: entry.epoch,
-        });
-    }
-    grants.sort_unstable_by_key(|grant| grant.shard);
-    grants
-}
-
 fn build_order(
     held: &mut HeldUpstream,
     id: &UpstreamId,
--- a/crates/owner/src/propose.rs
+++ b/crates/owner/src/propose.rs
@@ -55,7 +55,7 @@
             .or_else(|| self.propose_claims(now))
             .or_else(|| self.propose_moves(now))
             .or_else(|| self.propose_bootstrap(now))
-            .or_else(|| self.propose_states())
+            .or_else(|| self.propose_states(now))
             .or_else(|| self.propose_join())
             .or_else(|| self.propose_rebalance(now))
             .or_else(|| self.propose_removal(now))
--- a/crates/owner/src/reassign.rs
+++ b/crates/owner/src/reassign.rs
@@ -36,7 +36,7 @@
             }
             let mut candidates = self.candidates(now, &held.service, id);
             let mut changes = Vec::new();
-            for grant in grants {
+            for grant in grants.iter() {
                 let Some((to, domain)) = self.pick_and_count(&mut candidates) else {
                     break;
                 };
--- a/crates/owner/src/row.rs
+++ b/crates/owner/src/row.rs
@@ -120,8 +120,10 @@
 pub enum UpstreamState {
     /// It takes new work.
     Live,
-    /// The platform's list or an operator says that it is leaving.
+    /// The platform's list says that it is leaving.
     Leaving,
+    /// An operator has drained it, whatever the list says.
+    Drained,
 }
 
 /// The shards that a service has in a failure domain.
--- a/crates/owner/src/timing.rs
+++ b/crates/owner/src/timing.rs
@@ -34,13 +34,13 @@
 impl Default for Timing {
     fn default() -> Self {
         Self {
-            heartbeat_ms: 70,
+            heartbeat_ms: 90,
             silence_ms: 240,
             confirm_ms: 230,
             lease_ms: 320,
-            renew_ms: 70,
+            renew_ms: 90,
             margin_ms: 20,
-            read_ms: 1_000,
+            read_ms: 2_000,
             settle_ms: 3_000,
         }
     }
--- a/crates/replay/src/script.rs
+++ b/crates/replay/src/script.rs
@@ -29,6 +29,8 @@
     ThawUpstream(u32),
     /// An upstream is listed as leaving.
     LeaveUpstream(u32),
+    /// A leaving upstream is listed as live again.
+    ReturnUpstream(u32),
     /// Two hosts can't reach each other.
     CutHosts(u32, u32),
     /// A host can't reach an upstream.
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -27,6 +27,8 @@
     LongestUnownedMs(u64),
     /// So many shards have changed owners since this was last asked.
     Moves(u64),
+    /// So many upstreams take new work.
+    LiveUpstreams(usize),
     /// So many violations have been found.
     Violations(usize),
 }
@@ -133,6 +135,7 @@
             let moves = sum - std::mem::replace(epochs, sum);
             Outcome::Moves(moves)
         }
+        Outcome::LiveUpstreams(_) => Outcome::LiveUpstreams(world.live_upstreams()),
         Outcome::Violations(_) => Outcome::Violations(world.violations().len()),
     };
     if seen == outcome {
--- a/crates/replay/src/world.rs
+++ b/crates/replay/src/world.rs
@@ -145,6 +145,19 @@
         shards.filter(|shard| !self.is_owned(*shard)).count()
     }
 
+    /// Returns the number of upstreams that rows say take new work.
+    pub fn live_upstreams(&self) -> usize {
+        let rows = self.table_rows();
+        let domains = rows.iter().filter_map(|row| match &row.content {
+            owner::RowContent::Domain(domain) => Some(domain),
+            _ => None,
+        });
+        let entries = domains.flat_map(|domain| domain.upstreams.values());
+        entries
+            .filter(|entry| entry.state == owner::UpstreamState::Live)
+            .count()
+    }
+
     /// Returns the sum of the shards' epochs, which grows with each move.
     pub fn epoch_sum(&self) -> u64 {
         let mut sum = 0;
@@ -208,6 +221,7 @@
             WorldStep::FreezeUpstream(n) => self.upstream_mut(n).is_frozen = true,
             WorldStep::ThawUpstream(n) => self.upstream_mut(n).is_frozen = false,
             WorldStep::LeaveUpstream(n) => self.upstream_mut(n).listed.is_leaving = true,
+            WorldStep::ReturnUpstream(n) => self.upstream_mut(n).listed.is_leaving = false,
             WorldStep::CutHosts(a, b) => {
                 let a = Place::Host(self.host_mut(a).id.clone());
                 let b = Place::Host(self.host_mut(b).id.clone());
--- a/crates/replay/tests/traces.rs
+++ b/crates/replay/tests/traces.rs
@@ -13,6 +13,7 @@
 #[case::answers_lost(include_str!("../traces/answers_lost.jsonl"))]
 #[case::primary_cut_off(include_str!("../traces/primary_cut_off.jsonl"))]
 #[case::all_hosts_replaced(include_str!("../traces/all_hosts_replaced.jsonl"))]
+#[case::upstream_leaves(include_str!("../traces/upstream_leaves.jsonl"))]
 #[case::planned_stop(include_str!("../traces/planned_stop.jsonl"))]
 fn trace_holds(#[case] text: &str) {
     match run_trace(text) {
--- a/crates/route/src/owners.rs
+++ b/crates/route/src/owners.rs
@@ -115,7 +115,7 @@
                     host: entry.primary.clone(),
                     peer: address.map(|address| address.peer.clone()),
                 },
-                is_leaving: entry.state == UpstreamState::Leaving,
+                is_leaving: entry.state != UpstreamState::Live,
                 is_unreachable,
             };
             let (index, _) = self.upstreams.insert_full(id.clone(), slot);
