--- a/crates/host/src/submit.rs
+++ b/crates/host/src/submit.rs
@@ -183,6 +183,10 @@
                 Err(CommitError::NotTried(error)) => error.to_string(),
                 Err(CommitError::Unknown(reason)) => {
                     may_have_committed = true;
+                    let rows = self.rows_past(submission.base).await;
+                    if !rows.is_empty() {
+                        return self.judge_conflict(submission, &rows, changes);
+                    }
                     reason
                 }
             };
@@ -199,6 +203,15 @@
         }
     }
 
+    /// Returns the present row if it has passed `base`.
+    async fn rows_past(&self, base: Version) -> Vec<StoreRow> {
+        let keys = [CONFIG_KEY.to_owned()];
+        let read = self.ports.table.read(&keys).await;
+        let mut rows = read.unwrap_or_default();
+        rows.retain(|row| row.version > base.0);
+        rows
+    }
+
     /// Tells an own commit whose answer was lost from another operator's.
     fn judge_conflict(
         &self,
--- /dev/null
+++ b/crates/kernel/tests/basics.rs
@@ -0,0 +1,112 @@
+//! Identifiers, time, verdicts and task scopes.
+
+use async_std::task::block_on;
+use kernel::{
+    Cause, Clock, HostId, ManualClock, Moment, Refusal, SystemClock, TaskScope, TimerService,
+    Verdict,
+};
+use rstest::rstest;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+#[test]
+fn cause_text_round_trip() {
+    for cause in Cause::ALL {
+        assert_eq!(Cause::parse(cause.as_str()), Some(*cause));
+    }
+    assert_eq!(Cause::parse("surprise"), None);
+}
+
+#[test]
+fn cause_status_fits_verdict() {
+    for cause in Cause::ALL {
+        let is_doubtful = matches!(cause.status(), 502 | 504);
+        assert_eq!(
+            is_doubtful,
+            cause.verdict() == Verdict::MayHaveRun,
+            "{cause}"
+        );
+    }
+}
+
+#[rstest]
+#[case::ran(Verdict::Ran)]
+#[case::not_run(Verdict::NotRun)]
+#[case::may_have_run(Verdict::MayHaveRun)]
+fn verdict_round_trip(#[case] verdict: Verdict) {
+    assert_eq!(Verdict::parse(verdict.as_str()), Some(verdict));
+}
+
+#[test]
+fn refusal_shows_verdict_and_cause() {
+    let refusal = Refusal::new(Cause::QueueFull).after(Duration::from_secs(1));
+    assert_eq!(refusal.to_string(), "not-run: queue-full");
+}
+
+#[test]
+fn moment_saturates() {
+    let early = Moment::from_millis(1);
+    let late = Moment::from_millis(5);
+    assert_eq!(early - late, Duration::ZERO);
+    assert_eq!(early.before(Duration::from_secs(1)), Moment::ZERO);
+    assert_eq!(late - early, Duration::from_millis(4));
+}
+
+#[test]
+fn host_name_shared_by_runs() {
+    let (first, second) = (
+        HostId::of_run("entry-1", "aa"),
+        HostId::of_run("entry-1", "bb"),
+    );
+    assert_ne!(first, second);
+    assert_eq!(first.name(), second.name());
+}
+
+#[test]
+fn timer_wakes_subscribers() {
+    block_on(async {
+        let timers = TimerService::start(Arc::new(SystemClock::new()));
+        let ticks = timers.subscribe(Duration::from_millis(10));
+        let first = ticks.next().await.unwrap();
+        let second = ticks.next().await.unwrap();
+        assert!(second > first);
+        drop(timers);
+        assert_eq!(ticks.next().await, None);
+    });
+}
+
+#[test]
+fn manual_clock_follows_hand() {
+    let clock = ManualClock::default();
+    clock.set(Moment::from_millis(7));
+    assert_eq!(clock.now(), Moment::from_millis(7));
+}
+
+#[test]
+fn scope_drops_tasks_when_closed() {
+    struct Flag(Arc<AtomicBool>);
+    impl Drop for Flag {
+        fn drop(&mut self) {
+            self.0.store(true, Ordering::SeqCst);
+        }
+    }
+    block_on(async {
+        let scope = TaskScope::new();
+        let dropped = Arc::new(AtomicBool::new(false));
+        let flag = Flag(Arc::clone(&dropped));
+        scope.spawn(async move {
+            let _flag = flag;
+            futures::future::pending::<()>().await;
+        });
+        scope.close();
+        scope.closed().await;
+        for _ in 0..100 {
+            if dropped.load(Ordering::SeqCst) {
+                return;
+            }
+            async_std::task::sleep(Duration::from_millis(5)).await;
+        }
+        panic!("the task outlives its scope");
+    });
+}
