Write down fenced primaries, so that a later takeover does not wait for them

Cause: an upstream's entry kept earlier primaries until the next write of the row. When half of a domain's hosts and upstreams ended together, the claim waited for a quorum of those primaries' witnesses, which could no longer be had. Change: fenced primaries are cleared at once, and one that knows the claim itself counts as fenced.

--- a/crates/owner/src/claim.rs
+++ b/crates/owner/src/claim.rs
@@ -37,6 +37,18 @@
         Some(Proposal::of_write(self.write_own_row(next)))
     }
 
+    /// Writes down that earlier primaries have been fenced.
+    ///
+    /// A later takeover then need not wait for what their witnesses know.
+    pub(crate) fn propose_fenced(&self) -> Option<Proposal> {
+        let row = self.own_row()?;
+        let is_open = row.upstreams.iter().any(|(id, entry)| {
+            let held = self.held.get(id);
+            !entry.unfenced.is_empty() && held.is_some_and(|held| held.book.is_fenced())
+        });
+        is_open.then(|| Proposal::of_write(self.write_own_row(DomainRow::clone(row))))
+    }
+
     /// Takes over one upstream from a live primary if this host comes first.
     pub(crate) fn propose_rebalance(&self, now: Moment) -> Option<Proposal> {
         let row = self.own_row()?;
@@ -177,7 +189,11 @@
             }
             let version = held.claim.version;
             let is_known = held.claim.earlier.iter().all(|earlier| {
-                if is_replaced(&row, earlier) {
+                // An earlier primary that has ended, or knows the claim itself,
+                // renews no more.
+                let has_ended = is_replaced(&row, earlier);
+                let knows_claim = self.peers.known_version(earlier) >= version;
+                if has_ended || knows_claim || *earlier == self.me {
                     return true;
                 }
                 let witnesses = witness_set(earlier, row.hosts.keys());
--- a/crates/owner/src/propose.rs
+++ b/crates/owner/src/propose.rs
@@ -57,6 +57,7 @@
             .or_else(|| self.propose_bootstrap(now))
             .or_else(|| self.propose_states(now))
             .or_else(|| self.propose_join())
+            .or_else(|| self.propose_fenced())
             .or_else(|| self.propose_rebalance(now))
             .or_else(|| self.propose_removal(now))
     }
