--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -42,5 +42,5 @@
 pub use limits::{GateLimits, LimitError};
 pub use metrics::GateMetrics;
 pub use order::WorkOrder;
-pub use peers::{PeerSecret, PeerServer};
+pub use peers::{PLATFORM_PREFIX, PeerSecret, PeerServer, PlatformRelay};
 pub use snapshot::{SnapshotCell, TrafficSnapshot};
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -6,11 +6,14 @@
 use crate::limits::GateLimits;
 use crate::order::WorkOrder;
 use async_std::net::{TcpListener, TcpStream};
+use futures::future::BoxFuture;
 use h1::{Connection, HeadLimits, HeaderList, RequestHead, encode_response_head};
 use kernel::{Refusal, TaskScope};
 use sha2::{Digest, Sha256};
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
+use store::JsonReply;
 use subtle::ConstantTimeEq;
 
 const PEER_HEAD: HeadLimits = HeadLimits {
@@ -52,21 +55,39 @@
     desks: PrimaryDesks,
     secret: PeerSecret,
     limits: GateLimits,
+    relay: Arc<dyn PlatformRelay>,
     scope: TaskScope,
 }
 
+/// Paths below this one are passed on to the platform.
+pub const PLATFORM_PREFIX: &str = "/trestle-platform/";
+const RELAY_BODY_LIMIT: u64 = 16 << 20;
+
+/// Passes requests on to the platform for hosts that can't reach it.
+pub trait PlatformRelay: Send + Sync + fmt::Debug {
+    /// Sends a request and returns the answer; `None` when there is none.
+    fn relay<'a>(
+        &'a self,
+        method: &'a str,
+        path: &'a str,
+        body: Vec<u8>,
+    ) -> BoxFuture<'a, Option<JsonReply>>;
+}
+
 impl PeerServer {
     /// Builds a server whose tasks run in `scope`.
     pub fn new(
         desks: PrimaryDesks,
         secret: PeerSecret,
         limits: GateLimits,
+        relay: Arc<dyn PlatformRelay>,
         scope: TaskScope,
     ) -> Self {
         Self {
             desks,
             secret,
             limits,
+            relay,
             scope,
         }
     }
@@ -102,6 +123,22 @@
                 self.desks.shared.metrics.strangers.inc();
                 return;
             }
+            if let Some(path) = head.target.strip_prefix(PLATFORM_PREFIX) {
+                let (path, method) = (format!("/{path}"), head.method.clone());
+                let Ok(body) = connection
+                    .read_whole_body(head.body, RELAY_BODY_LIMIT)
+                    .await
+                else {
+                    return;
+                };
+                if !self
+                    .relay_platform(&mut connection, &method, &path, body)
+                    .await
+                {
+                    return;
+                }
+                continue;
+            }
             let limit = self.limits.max_body_bytes;
             let Ok(body) = connection.read_whole_body(head.body, limit).await else {
                 return;
@@ -132,6 +169,25 @@
 const SIGN: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
 
 impl PeerServer {
+    /// Passes a request on to the platform for a host that can't reach it.
+    async fn relay_platform(
+        &self,
+        connection: &mut Connection<TcpStream>,
+        method: &str,
+        path: &str,
+        body: Vec<u8>,
+    ) -> bool {
+        let Some(reply) = self.relay.relay(method, path, body).await else {
+            // No answer, as if the platform had given none.
+            return false;
+        };
+        let mut headers = HeaderList::new();
+        headers.push("content-length", reply.body.len().to_string());
+        let mut bytes = encode_response_head(reply.status, &headers);
+        bytes.extend_from_slice(&reply.body);
+        connection.write(&bytes).await.is_ok()
+    }
+
     /// Serves an order, giving signs of work; `None` when the peer has gone.
     async fn serve_with_signs(
         &self,
--- a/crates/host/src/hub.rs
+++ b/crates/host/src/hub.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use store::{HostLister, JsonClient, ObjectStore, TableStore};
+use store::{HostLister, HttpPlatform, JsonClient, ObjectStore, TableStore};
 
 const TICK: Duration = Duration::from_millis(8);
 const LOAD_PERIOD: Duration = Duration::from_millis(500);
@@ -28,6 +28,8 @@
     pub table: Arc<dyn TableStore>,
     pub objects: Arc<dyn ObjectStore>,
     pub lister: Arc<dyn HostLister>,
+    /// The client behind them, whose paths change.
+    pub platform: HttpPlatform,
 }
 
 /// Everything that the control thread's tasks share.
@@ -69,6 +71,7 @@
         self.start_ticks(&timers);
         self.start_loads(&timers);
         self.start_list(&timers);
+        self.start_sweeps(&timers);
         let hub = Rc::clone(&self);
         async_std::task::spawn_local(async move {
             while let Ok(request) = requests.recv().await {
@@ -97,6 +100,7 @@
                 let now = hub.clock.now();
                 let loads = hub.desks.take_loads(now - taken_at);
                 taken_at = now;
+                hub.refresh_relays(now);
                 let mut core = hub.core.borrow_mut();
                 core.set_loads(&loads);
                 core.set_riders(hub.desks.suspects(), hub.desks.waits_ms());
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -21,11 +21,13 @@
 mod link;
 mod perform;
 mod publish;
+mod relay;
 mod rpc;
 mod run;
 mod settings;
 mod status;
 mod submit;
+mod sweep;
 mod token;
 
 pub use run::{EntryHost, HostAddresses, StartError};
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -5,6 +5,7 @@
 use crate::hub::{ControlHub, PlatformPorts, boot_nonce};
 use crate::link::LinkTable;
 use crate::publish::Publisher;
+use crate::relay::DirectRelay;
 use crate::rpc::accept_links;
 use crate::settings::{HostSettings, SettingsError};
 use crate::status::HostStatus;
@@ -158,10 +159,13 @@
 
         let callers = CallerServer::new(ingress.clone(), scope.clone());
         accept_scope.spawn(callers.accept(listeners.callers));
+        let platform_limit = Duration::from_millis(settings.platform.timeout_ms);
+        let relay = DirectRelay::new(&settings.platform.address, platform_limit);
         let peers = PeerServer::new(
             desks.clone(),
             secret.clone(),
             settings.limits,
+            Arc::new(relay),
             scope.clone(),
         );
         scope.spawn(peers.accept(listeners.peers));
@@ -296,7 +300,8 @@
     PlatformPorts {
         table: Arc::new(client.clone()),
         objects: Arc::new(client.clone()),
-        lister: Arc::new(client),
+        lister: Arc::new(client.clone()),
+        platform: client,
     }
 }
 
--- /dev/null
+++ b/crates/host/src/sweep.rs
@@ -0,0 +1,67 @@
+//! Removal of journal entries that have expired.
+
+use crate::hub::ControlHub;
+use crate::perform::wall_clock_ms;
+use kernel::TimerService;
+use log::{info, warn};
+use retry::JournalEntry;
+use std::rc::Rc;
+use std::time::Duration;
+use store::{StoreRow, StoreTransaction};
+
+const SWEEP_PERIOD: Duration = Duration::from_mins(10);
+const JOURNAL_PREFIX: &str = "journal/";
+const MOST_IN_TRANSACTION: usize = 64;
+/// Leaves the platform's writes to others while a long sweep runs.
+const PAUSE: Duration = Duration::from_millis(100);
+
+impl ControlHub {
+    /// Sweeps the journal on behalf of the own domain now and then.
+    pub fn start_sweeps(self: &Rc<Self>, timers: &TimerService) {
+        let hub = Rc::clone(self);
+        let ticks = timers.subscribe(SWEEP_PERIOD);
+        async_std::task::spawn_local(async move {
+            while ticks.next().await.is_some() && !hub.scope.is_closed() {
+                let is_reader = hub.core.borrow().is_reader(hub.clock.now());
+                if is_reader {
+                    hub.sweep_journal().await;
+                }
+            }
+        });
+    }
+
+    /// Removes expired entries.
+    pub async fn sweep_journal(&self) {
+        let Ok(rows) = self.ports.table.scan(&[JOURNAL_PREFIX]).await else {
+            return;
+        };
+        let expired = expired_rows(&rows, wall_clock_ms());
+        let mut removed = 0;
+        for batch in expired.chunks(MOST_IN_TRANSACTION) {
+            let mut transaction = StoreTransaction::default();
+            for row in batch {
+                transaction.write(&row.key, row.version, serde_json::Value::Null);
+            }
+            match self.ports.table.commit(&transaction).await {
+                Ok(_) => removed += batch.len(),
+                Err(error) => warn!(target: "journal", "sweep: {error}"),
+            }
+            async_std::task::sleep(PAUSE).await;
+        }
+        info!(target: "journal", "swept={removed} of={}", rows.len());
+    }
+}
+
+/// Returns the rows whose entries have expired by `now_ms`.
+pub(crate) fn expired_rows(rows: &[StoreRow], now_ms: u64) -> Vec<&StoreRow> {
+    let mut expired = Vec::new();
+    for row in rows {
+        let Ok(entry) = serde_json::from_value::<JournalEntry>(row.value.clone()) else {
+            continue;
+        };
+        if entry.expires_at_ms <= now_ms {
+            expired.push(row);
+        }
+    }
+    expired
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -60,13 +60,15 @@
 #[derive(Clone, Debug)]
 pub struct JsonClient {
     inner: Arc<ClientState>,
+    prefix: &'static str,
 }
 
 #[derive(Debug)]
 struct ClientState {
     address: String,
     limit: Duration,
-    bearer: Option<String>,
+    /// A header line sent with every request.
+    line: Option<(&'static str, String)>,
     idle: Mutex<Vec<TcpStream>>,
 }
 
@@ -78,20 +80,32 @@
 
     /// Builds a client that sends a bearer token.
     pub fn with_bearer(address: &str, limit: Duration, token: &str) -> Self {
-        Self::build(address, limit, Some(token.to_owned()))
+        Self::with_line(address, limit, "authorization", format!("Bearer {token}"))
     }
 
-    fn build(address: &str, limit: Duration, bearer: Option<String>) -> Self {
+    /// Builds a client that sends a header line with every request.
+    pub fn with_line(address: &str, limit: Duration, name: &'static str, value: String) -> Self {
+        Self::build(address, limit, Some((name, value)))
+    }
+
+    fn build(address: &str, limit: Duration, line: Option<(&'static str, String)>) -> Self {
         Self {
+            prefix: "/",
             inner: Arc::new(ClientState {
                 address: address.to_owned(),
                 limit,
-                bearer,
+                line,
                 idle: Mutex::new(Vec::new()),
             }),
         }
     }
 
+    /// Puts `prefix`, which ends with a slash, before the path of every request.
+    pub fn below(mut self, prefix: &'static str) -> Self {
+        self.prefix = prefix;
+        self
+    }
+
     /// Returns the server's address.
     pub fn address(&self) -> &str {
         &self.inner.address
@@ -161,11 +175,12 @@
         body: &[u8],
     ) -> Result<JsonReply, ClientError> {
         let lost = |error: http_types::Error| ClientError::NoAnswer(error.to_string());
-        let url = format!("http://{}{path}", self.inner.address);
+        let path = path.strip_prefix('/').unwrap_or(path);
+        let url = format!("http://{}{}{path}", self.inner.address, self.prefix);
         let url = Url::parse(&url).map_err(|error| ClientError::NotSent(error.to_string()))?;
         let mut request = Request::new(method, url);
-        if let Some(token) = &self.inner.bearer {
-            request.insert_header("authorization", format!("Bearer {token}"));
+        if let Some((name, value)) = &self.inner.line {
+            request.insert_header(*name, value.as_str());
         }
         request.set_body(Body::from_bytes(body.to_vec()));
         let mut response = async_h1::connect(stream.clone(), request)
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -6,38 +6,120 @@
 };
 use futures::FutureExt;
 use http_types::Method;
+use parking_lot::{Mutex, RwLock};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// After which the platform's own address is tried again.
+const DIRECT_RETRY: Duration = Duration::from_secs(5);
 
 /// A client of the platform's table, object store and host list.
 ///
-/// Several addresses are tried in turn: the platform's own first, then relays
-/// through other domains.
+/// Several paths lead there: the platform's own address first, then relays
+/// through other failure domains. A path that does not answer is passed over by
+/// later requests until another one fails too or some time has gone by.
 #[derive(Clone, Debug)]
 pub struct HttpPlatform {
-    clients: Vec<JsonClient>,
+    shared: Arc<PlatformPaths>,
+}
+
+#[derive(Debug)]
+struct PlatformPaths {
+    direct: JsonClient,
+    relays: RwLock<Vec<JsonClient>>,
+    preferred: Mutex<PreferredPath>,
+}
+
+/// The path that requests take first.
+#[derive(Clone, Copy, Debug)]
+struct PreferredPath {
+    index: usize,
+    since: Instant,
 }
 
 impl HttpPlatform {
-    /// Builds a client of the platform at `address` and relays to it.
+    /// Builds a client of the platform at `address`, with fixed relays to it.
     pub fn new(address: &str, relays: &[String], limit: Duration) -> Self {
-        let mut clients = vec![JsonClient::new(address, limit)];
-        for relay in relays {
-            clients.push(JsonClient::new(relay, limit));
+        let relays = relays.iter().map(|relay| JsonClient::new(relay, limit));
+        Self {
+            shared: Arc::new(PlatformPaths {
+                direct: JsonClient::new(address, limit),
+                relays: RwLock::new(relays.collect()),
+                preferred: Mutex::new(PreferredPath {
+                    index: 0,
+                    since: Instant::now(),
+                }),
+            }),
         }
-        Self { clients }
     }
 
-    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, StoreError> {
-        let mut failure = StoreError::Unavailable("no address".to_owned());
-        for client in &self.clients {
-            match client.send(Method::Get, path, &[]).await {
-                Ok(reply) => return parse(&reply),
-                Err(error) => failure = StoreError::Unavailable(error.to_string()),
+    /// Replaces the relays.
+    pub fn set_relays(&self, relays: Vec<JsonClient>) {
+        *self.shared.relays.write() = relays;
+    }
+
+    /// Returns the addresses of the present relays.
+    pub fn relay_addresses(&self) -> Vec<String> {
+        let relays = self.shared.relays.read();
+        relays
+            .iter()
+            .map(|relay| relay.address().to_owned())
+            .collect()
+    }
+
+    /// Returns all paths with their numbers, the preferred one first.
+    fn paths(&self) -> Vec<(usize, JsonClient)> {
+        let mut paths = vec![(0, self.shared.direct.clone())];
+        for (index, relay) in self.shared.relays.read().iter().enumerate() {
+            paths.push((index + 1, relay.clone()));
+        }
+        let mut preferred = self.shared.preferred.lock();
+        if preferred.since.elapsed() > DIRECT_RETRY {
+            preferred.index = 0;
+        }
+        let first = preferred.index % paths.len();
+        paths.rotate_left(first);
+        paths
+    }
+
+    fn note_answer(&self, index: usize) {
+        let mut preferred = self.shared.preferred.lock();
+        if preferred.index != index {
+            *preferred = PreferredPath {
+                index,
+                since: Instant::now(),
+            };
+        }
+    }
+
+    fn note_silence(&self, index: usize) {
+        self.note_answer(index + 1);
+    }
+
+    /// Sends a request that may be repeated, by one path after the other.
+    async fn send_safe(
+        &self,
+        method: Method,
+        path: &str,
+        body: &[u8],
+    ) -> Result<JsonReply, StoreError> {
+        let mut failure = String::new();
+        for (index, client) in self.paths() {
+            match client.send(method, path, body).await {
+                Ok(reply) => {
+                    self.note_answer(index);
+                    return Ok(reply);
+                }
+                Err(error) => failure = error.to_string(),
             }
         }
-        Err(failure)
+        Err(StoreError::Unavailable(failure))
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, StoreError> {
+        parse(&self.send_safe(Method::Get, path, &[]).await?)
     }
 }
 
@@ -65,12 +147,18 @@
         async move {
             let body = serde_json::to_vec(transaction)
                 .map_err(|error| CommitError::NotTried(StoreError::Invalid(error.to_string())))?;
-            let mut failure = StoreError::Unavailable("no address".to_owned());
-            for client in &self.clients {
+            let mut failure = StoreError::Unavailable("no path".to_owned());
+            for (index, client) in self.paths() {
                 match client.send(Method::Post, "/table/commit", &body).await {
-                    Ok(reply) => return parse_commit(&reply),
+                    Ok(reply) => {
+                        self.note_answer(index);
+                        return parse_commit(&reply);
+                    }
                     Err(ClientError::NotSent(why)) => failure = StoreError::Unavailable(why),
-                    Err(ClientError::NoAnswer(why)) => return Err(CommitError::Unknown(why)),
+                    Err(ClientError::NoAnswer(why)) => {
+                        self.note_silence(index);
+                        return Err(CommitError::Unknown(why));
+                    }
                 }
             }
             Err(CommitError::NotTried(failure))
@@ -83,15 +171,11 @@
     fn put<'a>(&'a self, name: &'a str, body: &'a [u8]) -> StoreFuture<'a, ()> {
         async move {
             let path = format!("/objects/{name}");
-            let mut failure = StoreError::Unavailable("no address".to_owned());
-            for client in &self.clients {
-                match client.send(Method::Put, &path, body).await {
-                    Ok(reply) if reply.is_success() => return Ok(()),
-                    Ok(reply) => return Err(refusal(&reply)),
-                    Err(error) => failure = StoreError::Unavailable(error.to_string()),
-                }
+            let reply = self.send_safe(Method::Put, &path, body).await?;
+            if reply.is_success() {
+                return Ok(());
             }
-            Err(failure)
+            Err(refusal(&reply))
         }
         .boxed()
     }
@@ -99,16 +183,12 @@
     fn get<'a>(&'a self, name: &'a str) -> StoreFuture<'a, Option<Vec<u8>>> {
         async move {
             let path = format!("/objects/{name}");
-            let mut failure = StoreError::Unavailable("no address".to_owned());
-            for client in &self.clients {
-                match client.send(Method::Get, &path, &[]).await {
-                    Ok(reply) if reply.is_success() => return Ok(Some(reply.body)),
-                    Ok(reply) if reply.status == 404 => return Ok(None),
-                    Ok(reply) => return Err(refusal(&reply)),
-                    Err(error) => failure = StoreError::Unavailable(error.to_string()),
-                }
+            let reply = self.send_safe(Method::Get, &path, &[]).await?;
+            match reply.status {
+                200 => Ok(Some(reply.body)),
+                404 => Ok(None),
+                _ => Err(refusal(&reply)),
             }
-            Err(failure)
         }
         .boxed()
     }
--- a/crates/trial/tests/common/mod.rs
+++ b/crates/trial/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! A small deployment and raw exchanges with it.
 
+#![allow(dead_code, reason = "each test file uses the part that it needs")]
+
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::TcpStream;
 use std::time::Duration;
@@ -56,10 +58,6 @@
 }
 
 /// Builds a charge.
-#[allow(
-    dead_code,
-    reason = "not every test file that shares this module sends charges"
-)]
 pub fn charge(key: &str, body: &str, headers: &str) -> Vec<u8> {
     format!(
         "POST /abonos/charges HTTP/1.1\r\nhost: t\r\nidempotency-key: {key}\r\n{headers}\
