--- a/crates/host/src/link.rs
+++ b/crates/host/src/link.rs
@@ -191,7 +191,8 @@
     /// Takes in what rides on a heartbeat besides the control state.
     pub fn note_riders(&self, beat: &Beat) {
         self.desks.merge_suspects(&beat.suspects);
-        self.ingress.note_loads(&beat.loads);
+        self.ingress
+            .note_loads(beat.loads.as_deref().unwrap_or_default());
     }
 
     async fn call_beat(&self, link: &PeerLink, beat: &Beat) -> Result<Beat, LinkError> {
--- a/crates/member/src/beat.rs
+++ b/crates/member/src/beat.rs
@@ -18,8 +18,9 @@
     pub fingerprint: u64,
     /// Version of the sheet in force at the sender.
     pub sheet_version: Version,
-    /// Loads of the upstreams whose primary the sender is.
-    pub loads: Vec<UpstreamLoad>,
+    /// Loads of the upstreams whose primary the sender is; absent in most
+    /// heartbeats, as they change slowly.
+    pub loads: Option<Vec<UpstreamLoad>>,
     /// Requests suspected of crashing upstreams.
     pub suspects: Vec<Suspect>,
 }
--- a/crates/member/src/peers.rs
+++ b/crates/member/src/peers.rs
@@ -12,7 +12,7 @@
     pub heard_at: Moment,
     /// When it was first heard in its present spell of being heard.
     pub heard_since: Moment,
-    /// Its latest heartbeat or acknowledgement.
+    /// Its latest heartbeat or acknowledgement; with the latest loads.
     pub beat: Beat,
     /// Send time of the latest own heartbeat that it confirmed.
     confirmed_at: Option<Moment>,
@@ -52,8 +52,10 @@
         peer.heard_at = now;
         // Messages of one peer can overtake each other; versions only grow.
         let row_version = peer.beat.row_version.max(beat.row_version);
+        let loads = beat.loads.clone().or(peer.beat.loads.take());
         peer.beat = beat.clone();
         peer.beat.row_version = row_version;
+        peer.beat.loads = loads;
     }
 
     /// Records the acknowledgement of an own heartbeat sent at `sent`.
--- a/crates/owner/src/balance.rs
+++ b/crates/owner/src/balance.rs
@@ -239,7 +239,7 @@
             add(self, &load.upstream, load.slot_ms);
         }
         for (_, peer) in self.peers.heard(now) {
-            for load in &peer.beat.loads {
+            for load in peer.beat.loads.iter().flatten() {
                 add(self, &load.upstream, load.slot_ms);
             }
         }
--- a/crates/owner/src/core.rs
+++ b/crates/owner/src/core.rs
@@ -245,7 +245,7 @@
             row_version: self.own_row_version(),
             fingerprint: self.rows.fingerprint(),
             sheet_version: self.sheet.as_ref().map_or(Version(0), |s| s.version),
-            loads: self.own_loads(now),
+            loads: self.links.carries_loads(now).then(|| self.own_loads(now)),
             suspects: self.suspects.clone(),
         }
     }
@@ -524,12 +524,17 @@
 
     fn note_lapses(&mut self, now: Moment) {
         let mut changed = false;
+        let mut usable_changed = false;
         for held in self.held.values_mut() {
             let is_lost = !held.is_usable(now);
             changed |= is_lost != held.is_lost;
+            usable_changed |= is_lost != held.is_lost;
             held.is_lost = is_lost;
             held.call_off_stuck_moves(now);
         }
+        if usable_changed {
+            self.links.note_loads_changed(now);
+        }
         if changed {
             self.touch();
         }
@@ -590,6 +595,7 @@
         }
         held.is_lost = !held.is_usable(now);
         if was_ready != is_ready {
+            self.links.note_loads_changed(now);
             self.touch();
         }
     }
--- a/crates/owner/src/links.rs
+++ b/crates/owner/src/links.rs
@@ -22,9 +22,25 @@
     next_beat_at: Moment,
     round: u64,
     pulled_at: IndexMap<HostId, Moment>,
+    loads_changed_at: Moment,
 }
 
+/// Heartbeats of every so many rounds carry loads.
+const LOAD_ROUNDS: u64 = 8;
+/// For which heartbeats carry loads after the usable upstreams have changed.
+const LOAD_NEWS_SPAN: Duration = Duration::from_millis(300);
+
 impl LinkPlan {
+    /// Notes that other upstreams can be used from now on.
+    pub fn note_loads_changed(&mut self, now: Moment) {
+        self.loads_changed_at = now;
+    }
+
+    /// Returns whether a heartbeat sent now carries loads.
+    pub fn carries_loads(&self, now: Moment) -> bool {
+        self.round.is_multiple_of(LOAD_ROUNDS) || now - self.loads_changed_at <= LOAD_NEWS_SPAN
+    }
+
     pub fn set_seeds(&mut self, seeds: Vec<HostAddress>) {
         self.seeds = seeds;
     }
--- a/crates/replay/src/world.rs
+++ b/crates/replay/src/world.rs
@@ -347,7 +347,7 @@
                 row_version: kernel::Version(u64::MAX),
                 fingerprint: 0,
                 sheet_version: kernel::Version(0),
-                loads: Vec::new(),
+                loads: None,
                 suspects: Vec::new(),
             };
             self.feed(&host, Event::PushAcknowledged(beat));
--- a/crates/trestlectl/src/trials.rs
+++ b/crates/trestlectl/src/trials.rs
@@ -7,7 +7,10 @@
 use log::LevelFilter;
 use simplelog::{ConfigBuilder, WriteLogger};
 use std::time::Duration;
-use trial::{ADMIN_TOKEN, Deployment, FaultName, TrialOptions, TrialPlan, TrialReport, run_trial};
+use trial::{
+    ADMIN_TOKEN, Deployment, FaultName, TrialOptions, TrialPlan, TrialReport, run_trial,
+    serve_switches,
+};
 
 const USAGE: &str = "\
 usage: trestlectl trial [OPTIONS]
@@ -154,6 +157,8 @@
             );
         }
         if let Some(running) = deployment.running().first() {
+            let switches = serve_switches(deployment.clone()).await?;
+            println!("break things: curl -X POST 'http://{switches}/faults/host-loss?seconds=5'");
             println!("bearer token of the administration API: {ADMIN_TOKEN}");
             println!(
                 "try: curl -i http://{}/mapview/charts/golfo-san-jorge",
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -20,6 +20,7 @@
 mod report;
 mod run;
 mod slopes;
+mod switches;
 mod watch;
 
 pub use deploy::{ADMIN_TOKEN, Deployment, RunningHost};
@@ -28,3 +29,4 @@
 pub use report::{PathCost, RankReport, TrialReport, UnavailableReport};
 pub use run::{TrialOptions, run_trial};
 pub use slopes::{SlopeFit, SlopePoint, SlopeReport, SlopeSize, measure_slopes};
+pub use switches::serve_switches;
--- a/crates/wire/schema/control.capnp
+++ b/crates/wire/schema/control.capnp
@@ -23,6 +23,7 @@
   sheetVersion @5 :UInt64;
   loads @6 :List(UpstreamLoad);
   suspects @7 :List(Suspect);
+  hasLoads @8 :Bool;
 }
 
 struct Row {
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -13,8 +13,10 @@
     builder.set_row_version(beat.row_version.0);
     builder.set_fingerprint(beat.fingerprint);
     builder.set_sheet_version(beat.sheet_version.0);
-    let mut loads = builder.reborrow().init_loads(beat.loads.len() as u32);
-    for (index, load) in beat.loads.iter().enumerate() {
+    builder.set_has_loads(beat.loads.is_some());
+    let known = beat.loads.as_deref().unwrap_or_default();
+    let mut loads = builder.reborrow().init_loads(known.len() as u32);
+    for (index, load) in known.iter().enumerate() {
         let mut entry = loads.reborrow().get(index as u32);
         entry.set_upstream(load.upstream.as_str());
         entry.set_slot_ms(load.slot_ms);
@@ -58,7 +60,7 @@
         row_version: Version(reader.get_row_version()),
         fingerprint: reader.get_fingerprint(),
         sheet_version: Version(reader.get_sheet_version()),
-        loads,
+        loads: reader.get_has_loads().then_some(loads),
         suspects,
     })
 }
--- a/crates/wire/src/control_capnp.rs
+++ b/crates/wire/src/control_capnp.rs
@@ -880,6 +880,10 @@
         pub fn has_suspects(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_has_loads(self) -> bool {
+            self.reader.get_bool_field(1)
+        }
     }
 
     pub struct Builder<'a> {
@@ -1125,6 +1129,14 @@
         pub fn has_suspects(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_has_loads(self) -> bool {
+            self.builder.get_bool_field(1)
+        }
+        #[inline]
+        pub fn set_has_loads(&mut self, value: bool) {
+            self.builder.set_bool_field(1, value);
+        }
     }
 
     pub struct Pipeline {
@@ -1139,7 +1151,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 150] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 166] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(51, 153, 119, 1, 116, 101, 150, 188),
             ::capnp::word(14, 0, 0, 0, 1, 0, 4, 0),
@@ -1149,70 +1161,77 @@
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 66, 101),
             ::capnp::word(97, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1290,6 +1309,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 76, 111, 97, 100, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1301,6 +1329,7 @@
                 5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::struct_list::Owned<crate::control_capnp::upstream_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::struct_list::Owned<crate::control_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                8 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1319,9 +1348,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 4, 0, 2, 6, 3, 5, 7];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 4, 0, 8, 2, 6, 3, 5, 7];
         pub(crate) const TYPE_ID: u64 = 0xbc96_6574_0177_9933;
     }
 }
