--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -1,14 +1,14 @@
 //! One exchange with an upstream, from the last check to the body's end.
 
-use crate::answer::{Answer, AnswerBody, BodyStream, WHOLE_BELOW_BYTES, is_hop_header};
+use crate::answer::{Answer, AnswerBody, is_hop_header};
+use crate::body::{BodyCauses, ExchangeHold, RemoteBody};
 use crate::desk::{SlotGuard, UpstreamDesk};
 use crate::limits::GateLimits;
 use crate::order::WorkOrder;
 use crate::pool::PooledConnection;
 use async_std::future::timeout;
 use futures::FutureExt;
-use futures::future::BoxFuture;
-use h1::{BodyLength, BodyReader, HeadLimits, HeaderList, ResponseHead, encode_request_head};
+use h1::{HeadLimits, HeaderList, ResponseHead, encode_request_head};
 use kernel::{Cause, Clock, Epoch, Refusal};
 use std::sync::Arc;
 use std::time::Duration;
@@ -91,9 +91,9 @@
         let head = self.read_head(&desk, order, &mut pooled).await?;
         Self::judge_head(&desk, order, &head, &mut guard)?;
         desk.note_success();
-        let body = self
-            .read_body(&desk, order, &head, pooled, slot, guard)
-            .await?;
+        guard.is_armed = true;
+        let hold = SlotHold { slot, guard };
+        let body = self.read_body(order, &head, pooled, hold).await?;
         Ok(Answer {
             status: head.status,
             headers: end_to_end(&head.headers),
@@ -172,90 +172,32 @@
 
     async fn read_body(
         &self,
-        desk: &Arc<UpstreamDesk>,
         order: &WorkOrder,
         head: &ResponseHead,
         pooled: PooledConnection,
-        slot: SlotGuard,
-        mut guard: CancelGuard,
+        hold: SlotHold,
     ) -> Result<AnswerBody, Refusal> {
-        guard.is_armed = true;
-        let length = match head.body {
-            BodyLength::Fixed(length) => Some(length),
-            BodyLength::Chunked => None,
-            // Its end can't be told from a cut.
-            BodyLength::UntilClose => return Err(Cause::AnswerInvalid.into()),
+        let pool = Arc::clone(&hold.slot.desk().pool);
+        let body = RemoteBody::new(&pool, pooled, head, BODY_STALL_LIMIT, hold)?;
+        let causes = BodyCauses {
+            cut: Cause::AnswerInvalid,
+            late: Cause::UpstreamTimeout,
         };
-        let mut stream = UpstreamBody {
-            desk: Arc::clone(desk),
-            reader: BodyReader::new(head.body),
-            pooled: Some(pooled),
-            keeps_alive: head.keeps_alive,
-            slot: Some(slot),
-            guard,
-        };
-        if length.is_none_or(|length| length > WHOLE_BELOW_BYTES) {
-            return Ok(AnswerBody::Stream(length, Box::new(stream)));
-        }
-        let left = order.deadline - self.clock.now();
-        match timeout(left, read_whole(&mut stream)).await {
-            Ok(Ok(body)) => Ok(AnswerBody::Whole(body)),
-            Ok(Err(_cut)) => Err(Cause::AnswerInvalid.into()),
-            Err(_elapsed) => Err(Cause::UpstreamTimeout.into()),
-        }
-    }
-}
-
-/// Reads a stream to its end.
-pub(crate) async fn read_whole(stream: &mut dyn BodyStream) -> h1::Result<Vec<u8>> {
-    let mut body = Vec::new();
-    while let Some(part) = stream.next().await? {
-        body.extend_from_slice(&part);
+        body.into_answer(order.deadline - self.clock.now(), causes)
+            .await
     }
-    Ok(body)
 }
 
-/// An upstream's body; holds the slot until its end.
-struct UpstreamBody {
-    desk: Arc<UpstreamDesk>,
-    reader: BodyReader,
-    pooled: Option<PooledConnection>,
-    keeps_alive: bool,
-    slot: Option<SlotGuard>,
+/// The slot of a request, and the word to its upstream if it is cut.
+struct SlotHold {
+    slot: SlotGuard,
     guard: CancelGuard,
 }
 
-impl UpstreamBody {
-    /// Gives slot and connection back after the last part.
-    fn finish(&mut self) {
+impl ExchangeHold for SlotHold {
+    fn release(mut self) {
         self.guard.is_armed = false;
-        self.slot = None;
-        let Some(pooled) = self.pooled.take() else {
-            return;
-        };
-        // Bytes beyond the answer mean that the connection is out of step.
-        if self.keeps_alive && !pooled.connection.has_leftover() {
-            self.desk.pool.keep(pooled);
-        }
-    }
-}
-
-impl BodyStream for UpstreamBody {
-    fn next(&mut self) -> BoxFuture<'_, h1::Result<Option<Vec<u8>>>> {
-        async move {
-            let Some(pooled) = &mut self.pooled else {
-                return Ok(None);
-            };
-            let reading = self.reader.next(&mut pooled.connection);
-            let part = timeout(BODY_STALL_LIMIT, reading)
-                .await
-                .map_err(|_elapsed| h1::Error::Truncated)??;
-            if self.reader.is_done() {
-                self.finish();
-            }
-            Ok(part)
-        }
-        .boxed()
+        drop(self.slot);
     }
 }
 
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -1,13 +1,12 @@
 //! The near end of the peer link: a request goes to another host.
 
-use crate::answer::{Answer, AnswerBody, BodyStream, WHOLE_BELOW_BYTES, is_hop_header};
-use crate::exchange::read_whole;
+use crate::answer::{Answer, is_hop_header};
+use crate::body::{BodyCauses, RemoteBody};
 use crate::order::WorkOrder;
 use crate::pool::{ConnectionPool, PooledConnection};
 use async_std::future::timeout;
 use futures::FutureExt;
-use futures::future::BoxFuture;
-use h1::{BodyLength, BodyReader, HeadLimits, ResponseHead, ResponsePart, encode_request_head};
+use h1::{HeadLimits, ResponseHead, ResponsePart, encode_request_head};
 use indexmap::IndexMap;
 use kernel::{Cause, Clock, Refusal};
 use parking_lot::RwLock;
@@ -68,7 +67,13 @@
             .await?;
         let refusal = refusal_in(&head);
         let wait = Duration::from_micros(head.headers.get_number("trestle-wait-us").unwrap_or(0));
-        let body = self.read_body(&pool, pooled, &head, order).await?;
+        let remote = RemoteBody::new(&pool, pooled, &head, BODY_STALL_LIMIT, ())?;
+        let causes = BodyCauses {
+            cut: Cause::PrimaryLost,
+            late: Cause::PrimaryLost,
+        };
+        let left = order.deadline + GRACE - self.clock.now();
+        let body = remote.into_answer(left, causes).await?;
         if let Some(refusal) = refusal {
             return Err(refusal);
         }
@@ -124,34 +129,6 @@
         }
     }
 
-    async fn read_body(
-        &self,
-        pool: &Arc<ConnectionPool>,
-        pooled: PooledConnection,
-        head: &ResponseHead,
-        order: &WorkOrder,
-    ) -> Result<AnswerBody, Refusal> {
-        let length = match head.body {
-            BodyLength::Fixed(length) => Some(length),
-            BodyLength::Chunked => None,
-            BodyLength::UntilClose => return Err(Cause::AnswerInvalid.into()),
-        };
-        let mut stream = PeerBody {
-            pool: Arc::clone(pool),
-            reader: BodyReader::new(head.body),
-            pooled: Some(pooled),
-            keeps_alive: head.keeps_alive,
-        };
-        if length.is_none_or(|length| length > WHOLE_BELOW_BYTES) {
-            return Ok(AnswerBody::Stream(length, Box::new(stream)));
-        }
-        let left = order.deadline + GRACE - self.clock.now();
-        match timeout(left, read_whole(&mut stream)).await {
-            Ok(Ok(body)) => Ok(AnswerBody::Whole(body)),
-            Ok(Err(_)) | Err(_) => Err(Cause::PrimaryLost.into()),
-        }
-    }
-
     fn pool(&self, address: &str) -> Arc<ConnectionPool> {
         if let Some(pool) = self.pools.read().get(address) {
             return Arc::clone(pool);
@@ -174,34 +151,3 @@
     refusal.retry_after = retry_ms.map(Duration::from_millis);
     Some(refusal)
 }
-
-/// A body on its way from another host.
-struct PeerBody {
-    pool: Arc<ConnectionPool>,
-    reader: BodyReader,
-    pooled: Option<PooledConnection>,
-    keeps_alive: bool,
-}
-
-impl BodyStream for PeerBody {
-    fn next(&mut self) -> BoxFuture<'_, h1::Result<Option<Vec<u8>>>> {
-        async move {
-            let Some(pooled) = &mut self.pooled else {
-                return Ok(None);
-            };
-            let reading = self.reader.next(&mut pooled.connection);
-            let part = timeout(BODY_STALL_LIMIT, reading)
-                .await
-                .map_err(|_elapsed| h1::Error::Truncated)??;
-            if self.reader.is_done()
-                && let Some(pooled) = self.pooled.take()
-                && self.keeps_alive
-                && !pooled.connection.has_leftover()
-            {
-                self.pool.keep(pooled);
-            }
-            Ok(part)
-        }
-        .boxed()
-    }
-}
--- a/crates/gate/src/ingress.rs
+++ b/crates/gate/src/ingress.rs
@@ -6,7 +6,7 @@
 use crate::limits::GateLimits;
 use crate::metrics::GateMetrics;
 use crate::order::WorkOrder;
-use crate::snapshot::{SnapshotCell, TrafficSnapshot};
+use crate::snapshot::SnapshotCell;
 use crate::waits::WaitBook;
 use h1::RequestHead;
 use indexmap::IndexMap;
@@ -17,22 +17,13 @@
 use log::info;
 use member::UpstreamLoad;
 use parking_lot::Mutex;
-use retry::{RetryBudget, full_jitter};
-use route::{KindRoute, UpstreamSlot};
+use retry::RetryBudget;
+use route::KindRoute;
 use sheet::Rank;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-const ROUTING_PAUSE: Duration = Duration::from_millis(4);
-const ROUTING_PAUSE_MOST: Duration = Duration::from_millis(24);
-const RETRY_PAUSE: Duration = Duration::from_millis(8);
-const RETRY_PAUSE_MOST: Duration = Duration::from_millis(200);
-const BUDGET_MOST: f64 = 20.0;
-/// Instances in other domains are weighed once the own ones make this wait.
-const LOCAL_WAIT_LIMIT_US: u64 = 30_000;
-/// Added to the score of instances in other domains.
-const DISTANCE_US: u64 = 4_000;
 const MOST_CUSTOMER_BYTES: usize = 64;
 /// Share of the in-flight limit up to which a rank is taken in, in percent.
 const RANK_ROOM_PERCENT: [u64; 3] = [100, 85, 70];
@@ -63,16 +54,16 @@
 /// Takes requests in.
 #[derive(Clone, Debug)]
 pub struct Ingress {
-    shared: Arc<IngressShared>,
+    pub(crate) shared: Arc<IngressShared>,
 }
 
 #[derive(Debug)]
-struct IngressShared {
-    parts: IngressParts,
-    forwarder: PeerForwarder,
-    waits: WaitBook,
-    budgets: Mutex<IndexMap<ServiceName, RetryBudget>>,
-    rng: Mutex<fastrand::Rng>,
+pub(crate) struct IngressShared {
+    pub parts: IngressParts,
+    pub forwarder: PeerForwarder,
+    pub waits: WaitBook,
+    pub budgets: Mutex<IndexMap<ServiceName, RetryBudget>>,
+    pub rng: Mutex<fastrand::Rng>,
     next_request: AtomicU64,
     in_flight: AtomicU64,
     body_bytes: AtomicU64,
@@ -113,19 +104,13 @@
     }
 }
 
-/// What to do after a refusal.
-enum NextStep {
-    Stop,
-    Pause(Duration),
-}
-
 /// How a request has fared so far.
-struct TryRecord {
-    started_at: Moment,
-    tries: u32,
-    failed: Vec<UpstreamId>,
+pub(crate) struct TryRecord {
+    pub started_at: Moment,
+    pub tries: u32,
+    pub failed: Vec<UpstreamId>,
     /// A cause of an earlier try that may have run.
-    doubt: Option<Refusal>,
+    pub doubt: Option<Refusal>,
 }
 
 impl Ingress {
@@ -292,31 +277,6 @@
         Ok((kind.clone(), order))
     }
 
-    async fn try_until_done(
-        &self,
-        kind: &KindRoute,
-        order: &mut WorkOrder,
-        record: &mut TryRecord,
-    ) -> Result<Answer, Refusal> {
-        self.budget(&order.service, RetryBudget::note_first_try);
-        loop {
-            let outcome = self.try_once(kind, order, record).await;
-            let refusal = match outcome {
-                Ok(answer) => return Ok(answer),
-                Err(refusal) => refusal,
-            };
-            if refusal.verdict() == Verdict::MayHaveRun {
-                record.doubt = Some(refusal);
-            }
-            match self.next_step(order, record, refusal) {
-                NextStep::Stop => return Err(final_refusal(record, refusal)),
-                NextStep::Pause(pause) => async_std::task::sleep(pause).await,
-            }
-            record.tries += 1;
-            self.shared.parts.metrics.retries.inc();
-        }
-    }
-
     /// Counts the request in, or refuses it when the host has no room for its rank.
     fn enter(&self, order: &WorkOrder) -> Result<InFlightGuard, Refusal> {
         let shared = &self.shared;
@@ -337,211 +297,6 @@
         }
         Ok(guard)
     }
-
-    /// Chooses the upstream and sends the request to its primary.
-    async fn try_once(
-        &self,
-        kind: &KindRoute,
-        order: &mut WorkOrder,
-        record: &mut TryRecord,
-    ) -> Result<Answer, Refusal> {
-        let now = self.now();
-        if now >= order.deadline {
-            return Err(Cause::DeadlineUnreachable.into());
-        }
-        let target = self.choose(kind, order, record)?;
-        order.upstream = target.id.clone();
-        let outstanding = self.shared.waits.begin(&target.id);
-        let parts = &self.shared.parts;
-        let outcome = if target.primary.host == parts.host {
-            parts.desks.serve(order.clone()).await
-        } else {
-            self.forward(&target, order).await
-        };
-        drop(outstanding);
-        match &outcome {
-            Ok(answer) => self.shared.waits.note(self.now(), &target.id, answer.wait),
-            Err(refusal) => {
-                if let Some(wait) = refusal.retry_after {
-                    self.shared.waits.note(self.now(), &target.id, wait);
-                }
-                record.failed.push(target.id);
-            }
-        }
-        outcome
-    }
-
-    async fn forward(&self, target: &UpstreamSlot, order: &WorkOrder) -> Result<Answer, Refusal> {
-        let parts = &self.shared.parts;
-        let Some(peer) = &target.primary.peer else {
-            return Err(Cause::PrimaryUnreachable.into());
-        };
-        let address = parts.translations.get(peer).unwrap_or(peer);
-        let snapshots = &parts.snapshots;
-        let is_given_up = || {
-            let snapshot = snapshots.load();
-            order.is_idempotent && is_superseded(&snapshot, target)
-        };
-        self.shared
-            .forwarder
-            .forward(address, order, is_given_up)
-            .await
-    }
-
-    /// Chooses the upstream that is to run a request.
-    fn choose(
-        &self,
-        kind: &KindRoute,
-        order: &mut WorkOrder,
-        record: &TryRecord,
-    ) -> Result<UpstreamSlot, Refusal> {
-        let snapshot = self.shared.parts.snapshots.load();
-        let Some((shard, _)) = order.shard else {
-            return self.choose_instance(&snapshot, kind, record);
-        };
-        let owner = snapshot.owners.owner(&order.service, shard);
-        let (slot, epoch) = owner.ok_or(Cause::NoOwner)?;
-        if slot.is_unreachable {
-            return Err(Cause::DomainUnreachable.into());
-        }
-        order.shard = Some((shard, epoch));
-        Ok(slot.clone())
-    }
-
-    /// Chooses among the instances of an undivided service: the better of two
-    /// random ones, in the own domain unless it is short.
-    fn choose_instance(
-        &self,
-        snapshot: &TrafficSnapshot,
-        kind: &KindRoute,
-        record: &TryRecord,
-    ) -> Result<UpstreamSlot, Refusal> {
-        let is_open = |slot: &&UpstreamSlot| !slot.is_leaving && !slot.is_unreachable;
-        let is_fresh = |slot: &&UpstreamSlot| !record.failed.contains(&slot.id);
-        let open: Vec<&UpstreamSlot> = snapshot
-            .owners
-            .instances(kind.service())
-            .filter(is_open)
-            .collect();
-        let fresh: Vec<&UpstreamSlot> = open.iter().copied().filter(|s| is_fresh(s)).collect();
-        let pool = if fresh.is_empty() { open } else { fresh };
-        let (local, distant): (Vec<&UpstreamSlot>, Vec<&UpstreamSlot>) = pool
-            .into_iter()
-            .partition(|slot| Some(&slot.domain) == snapshot.domain.as_ref());
-        let near = self.better_of_two(&local, kind);
-        if let Some((slot, score)) = near
-            && score <= LOCAL_WAIT_LIMIT_US
-        {
-            return Ok(slot.clone());
-        }
-        let far = self.better_of_two(&distant, kind);
-        match (near, far) {
-            (Some((near, near_score)), Some((far, far_score))) => {
-                let is_far_better = far_score + DISTANCE_US < near_score;
-                Ok(if is_far_better { far } else { near }.clone())
-            }
-            (Some((slot, _)), None) | (None, Some((slot, _))) => Ok(slot.clone()),
-            (None, None) => Err(Cause::NoOwner.into()),
-        }
-    }
-
-    fn better_of_two<'a>(
-        &self,
-        slots: &[&'a UpstreamSlot],
-        kind: &KindRoute,
-    ) -> Option<(&'a UpstreamSlot, u64)> {
-        if slots.is_empty() {
-            return None;
-        }
-        let (first, second) = {
-            let mut rng = self.shared.rng.lock();
-            (rng.usize(..slots.len()), rng.usize(..slots.len()))
-        };
-        let now = self.now();
-        let cost = kind.planned_cost();
-        let mut best: Option<(&UpstreamSlot, u64)> = None;
-        for index in [first, second] {
-            let slot = slots[index];
-            let score = self.shared.waits.score_us(now, &slot.id, slot.slots, cost);
-            if best.is_none_or(|(_, least)| score < least) {
-                best = Some((slot, score));
-            }
-        }
-        best
-    }
-
-    /// Decides whether a refused request is tried again.
-    fn next_step(&self, order: &WorkOrder, record: &TryRecord, refusal: Refusal) -> NextStep {
-        let cause = refusal.cause;
-        let is_safe = refusal.verdict() == Verdict::NotRun || order.is_idempotent;
-        if !cause.is_retryable() || !is_safe || cause == Cause::JournalUnavailable {
-            return NextStep::Stop;
-        }
-        let now = self.now();
-        let mut rng = self.shared.rng.lock();
-        let pause = if is_routing_cause(cause) {
-            // Ownership is on the move: nothing ran, and the move is short.
-            if now >= record.started_at + self.shared.parts.limits.hold() {
-                return NextStep::Stop;
-            }
-            full_jitter(&mut rng, ROUTING_PAUSE, ROUTING_PAUSE_MOST, record.tries)
-                .max(Duration::from_millis(1))
-        } else {
-            if !self.budget(&order.service, RetryBudget::try_spend) {
-                return NextStep::Stop;
-            }
-            full_jitter(&mut rng, RETRY_PAUSE, RETRY_PAUSE_MOST, record.tries)
-        };
-        if now + pause >= order.deadline {
-            return NextStep::Stop;
-        }
-        NextStep::Pause(pause)
-    }
-
-    fn budget<T>(&self, service: &ServiceName, change: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let share = f64::from(self.shared.parts.limits.retry_percent) / 100.0;
-        let mut budgets = self.shared.budgets.lock();
-        let budget = budgets
-            .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(share, BUDGET_MOST));
-        change(budget)
-    }
-}
-
-/// Returns what to tell a caller: a try that may have run outweighs later ones.
-fn final_refusal(record: &TryRecord, refusal: Refusal) -> Refusal {
-    match record.doubt {
-        Some(doubt) if refusal.verdict() == Verdict::NotRun => doubt,
-        _ => refusal,
-    }
-}
-
-/// Returns whether a cause passes once ownership has settled.
-const fn is_routing_cause(cause: Cause) -> bool {
-    matches!(
-        cause,
-        Cause::NoOwner
-            | Cause::PrimaryUnreachable
-            | Cause::NotPrimary
-            | Cause::LeaseLapsed
-            | Cause::ShardMoving
-            | Cause::UpstreamLeaving
-            | Cause::UpstreamUnreachable
-            | Cause::HostStopping
-            | Cause::NoConfiguration
-    )
-}
-
-/// Returns whether an upstream's primary is out of reach, or silent and replaced.
-fn is_superseded(snapshot: &TrafficSnapshot, target: &UpstreamSlot) -> bool {
-    let present = snapshot.owners.upstream(&target.id);
-    if present.is_some_and(|slot| slot.is_unreachable) {
-        return true;
-    }
-    if !snapshot.silent_hosts.contains(&target.primary.host) {
-        return false;
-    }
-    present.is_none_or(|slot| slot.primary.host != target.primary.host)
 }
 
 fn customer_of(head: &RequestHead) -> Result<CustomerName, Cause> {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -17,7 +17,10 @@
 //! ```
 
 mod answer;
+mod attempt;
+mod body;
 mod callers;
+mod choose;
 mod desk;
 mod desks;
 mod exchange;
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod explore;
 mod message;
+mod network;
 mod random;
 mod script;
 mod setup;
