--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -227,7 +227,13 @@
         self.control.tell(ControlRequest::Leave);
         let started = Instant::now();
         // Others take the upstreams over while callers are still served.
-        while !self.has_handed_over().await && started.elapsed() < HANDOVER_PATIENCE {
+        while !self.has_handed_over().await {
+            // Nobody can take over while the table is down, and keys would be
+            // served by nobody: only a second signal ends the wait then.
+            let is_table_down = self.is_table_down().await;
+            if started.elapsed() >= HANDOVER_PATIENCE && !is_table_down {
+                break;
+            }
             async_std::task::sleep(STOP_POLL).await;
         }
         self.ingress.stop();
@@ -245,6 +251,11 @@
         held.is_none_or(|held| held == 0)
     }
 
+    async fn is_table_down(&self) -> bool {
+        let status = self.status().await;
+        status.is_some_and(|status| status.table_failing_ms.is_some())
+    }
+
     /// Ends the host at once, as its loss would.
     pub fn kill(&self) {
         self.accept_scope.close();
--- a/crates/owner/src/core.rs
+++ b/crates/owner/src/core.rs
@@ -6,9 +6,8 @@
 use crate::links::LinkPlan;
 use crate::table::TableState;
 use crate::{
-    Action, DomainRow, Event, HostAddress,
-    PlacementPolicy, PlatformList, RowBook, RowKey, ShardGrant, Timing,
-    VersionedRow,
+    Action, DomainRow, Event, HostAddress, PlacementPolicy, PlatformList, RowBook, RowKey,
+    ShardGrant, Timing, VersionedRow,
 };
 use indexmap::IndexMap;
 use kernel::{DomainName, HostId, Moment, ServiceName, UpstreamId, Version};
--- a/crates/replay/src/world.rs
+++ b/crates/replay/src/world.rs
@@ -9,8 +9,7 @@
 use kernel::{DomainName, HostId, Moment, ServiceName, ShardId, UpstreamId, find_plugin};
 use member::Beat;
 use owner::{
-    ConfigRow, ControlCore, Event, HostAddress, PlacementPlugin,
-    PlatformList, TableTransaction,
+    ConfigRow, ControlCore, Event, HostAddress, PlacementPlugin, PlatformList, TableTransaction,
 };
 use sheet::{Sheet, SheetDigest};
 use std::sync::Arc;
--- /dev/null
+++ b/crates/trestlectl/tests/cli.rs
@@ -0,0 +1,83 @@
+//! Exit codes and messages of the operators' program.
+
+use rstest::rstest;
+use std::process::{Command, Output};
+
+fn run(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_trestlectl"))
+        .args(arguments)
+        .env_remove("TRESTLE_TOKEN")
+        .output()
+        .expect("the program runs")
+}
+
+fn errors(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+#[rstest]
+#[case::help(&["--help"], 0)]
+#[case::version(&["--version"], 0)]
+#[case::trial_help(&["trial", "--help"], 0)]
+#[case::sheet_help(&["sheet", "--help"], 0)]
+#[case::nothing(&[], 2)]
+#[case::unknown(&["surprise"], 2)]
+#[case::sheet_without_verb(&["sheet"], 2)]
+#[case::no_admin(&["status"], 2)]
+#[case::no_token(&["status", "--admin", "127.0.0.1:1"], 2)]
+#[case::no_base(&["sheet", "submit", "../../examples/none.json"], 1)]
+#[case::fault(&["trial", "--seconds", "1", "--faults", "surprise"], 2)]
+#[case::number(&["trial", "--seconds", "soon"], 2)]
+#[case::no_trace(&["replay"], 2)]
+#[case::missing_trace(&["replay", "/nonexistent.jsonl"], 1)]
+#[case::domain_without_name(&["domain", "lost"], 2)]
+fn command_exit_code(#[case] arguments: &[&str], #[case] code: i32) {
+    let output = run(arguments);
+    assert_eq!(output.status.code(), Some(code), "{}", errors(&output));
+}
+
+#[test]
+fn replay_plays_committed_traces() {
+    let traces = concat!(env!("CARGO_MANIFEST_DIR"), "/../replay/traces");
+    let files = std::fs::read_dir(traces).expect("the traces");
+    let paths: Vec<String> = files
+        .map(|file| file.expect("a file").path().display().to_string())
+        .collect();
+    let mut arguments = vec!["replay"];
+    arguments.extend(paths.iter().map(String::as_str));
+    let output = run(&arguments);
+    assert_eq!(output.status.code(), Some(0), "{}", errors(&output));
+}
+
+#[test]
+fn sheet_check_names_file_and_field() {
+    let file = std::env::temp_dir().join(format!("trestlectl-sheet-{}.json", std::process::id()));
+    let path = file.to_str().expect("a path");
+    std::fs::write(&file, r#"{ "services": { "UPPER": { "kinds": [] } } }"#).expect("written");
+    let output = run(&["sheet", "check", path]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(
+        errors(&output).contains(&format!("{path}: services.UPPER.kinds: ")),
+        "{}",
+        errors(&output)
+    );
+    std::fs::write(&file, "{ \"services\": ").expect("written");
+    let output = run(&["sheet", "check", path]);
+    assert!(errors(&output).contains("line 1"), "{}", errors(&output));
+    std::fs::remove_file(&file).expect("removed");
+}
+
+#[test]
+fn sheet_check_accepts_example_sheets() {
+    for name in ["small", "austral", "tievarmo", "flood"] {
+        let plan = format!("{}/../../examples/{name}.json", env!("CARGO_MANIFEST_DIR"));
+        let text = std::fs::read_to_string(&plan).expect("the example");
+        let plan: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+        let file =
+            std::env::temp_dir().join(format!("trestlectl-{name}-{}.json", std::process::id()));
+        std::fs::write(&file, plan["sheet"].to_string()).expect("written");
+        let output = run(&["sheet", "check", file.to_str().expect("a path")]);
+        assert_eq!(output.status.code(), Some(0), "{name}: {}", errors(&output));
+        std::fs::remove_file(&file).expect("removed");
+    }
+}
