--- a/crates/owner/src/bootstrap.rs
+++ b/crates/owner/src/bootstrap.rs
@@ -79,13 +79,12 @@
 
     /// Writes down which upstreams are leaving, or are back.
     pub(crate) fn propose_states(&self, now: Moment) -> Option<Proposal> {
+        // Hosts with lists of different ages would undo each other's writes.
         let reads_list = self.is_reader(now);
         for (domain, row) in self.rows.domains() {
             let mut changes = Vec::new();
             for (id, entry) in &row.upstreams {
-                let is_own = *domain == self.domain;
-                // The reader polls the list often, the primary must know soon.
-                let follows_list = is_own && (reads_list || entry.primary == self.me);
+                let follows_list = *domain == self.domain && reads_list;
                 let listed = self.listed_leaving(id).filter(|_| follows_list);
                 let wanted = match (self.drains.get(id), entry.state, listed) {
                     (Some(false), UpstreamState::Drained, _) => UpstreamState::Live,
--- a/crates/owner/src/learn.rs
+++ b/crates/owner/src/learn.rs
@@ -7,6 +7,10 @@
 use kernel::{HostId, Moment, UpstreamId, Version};
 use sheet::Sheet;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// For which a list read from the platform counts as its present word.
+const LIST_FRESH: Duration = Duration::from_secs(1);
 
 impl ControlCore {
     /// Takes rows in and passes on those that were news.
@@ -120,6 +124,7 @@
             self.touch();
         }
         self.list = Some(list);
+        self.list_read_at = now;
     }
 
     pub(crate) fn note_sheet(&mut self, version: Version, sheet: Arc<Sheet>) {
@@ -141,8 +146,11 @@
         }
     }
 
-    /// Returns what the platform's list says of an upstream, if it names it.
+    /// Returns what a list read lately says of an upstream, if it names it.
     pub(crate) fn listed_leaving(&self, id: &UpstreamId) -> Option<bool> {
+        if self.last_tick - self.list_read_at > LIST_FRESH {
+            return None;
+        }
         let mut upstreams = self.list.as_ref()?.upstreams.iter();
         let listed = upstreams.find(|upstream| upstream.id == *id)?;
         Some(listed.is_leaving)
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -29,6 +29,8 @@
     Moves(u64),
     /// So many upstreams take new work.
     LiveUpstreams(usize),
+    /// No more transactions than so many have taken effect.
+    CommitsAtMost(u64),
     /// So many violations have been found.
     Violations(usize),
 }
@@ -136,6 +138,7 @@
             Outcome::Moves(moves)
         }
         Outcome::LiveUpstreams(_) => Outcome::LiveUpstreams(world.live_upstreams()),
+        Outcome::CommitsAtMost(most) => Outcome::CommitsAtMost(world.commits().max(most)),
         Outcome::Violations(_) => Outcome::Violations(world.violations().len()),
     };
     if seen == outcome {
--- a/crates/replay/src/world.rs
+++ b/crates/replay/src/world.rs
@@ -18,6 +18,7 @@
 
 pub(crate) const TICK: Duration = Duration::from_millis(10);
 const LIST_PERIOD: Duration = Duration::from_millis(400);
+const LIST_BACKGROUND_FACTOR: u32 = 16;
 const SERVICE: &str = "charts";
 
 #[derive(Clone, Debug)]
@@ -391,7 +392,10 @@
         let id = host.id.clone();
         let is_list_due = now >= host.next_list;
         if is_list_due {
-            host.next_list = now + LIST_PERIOD;
+            // As in a host: one of each domain reads the list often.
+            let is_reader = host.core.as_ref().is_some_and(|core| core.is_reader(now));
+            let rounds = if is_reader { 1 } else { LIST_BACKGROUND_FACTOR };
+            host.next_list = now + LIST_PERIOD * rounds;
             let upstreams = self.upstreams.values();
             let list = PlatformList {
                 hosts: Vec::new(),
