Read the rows after a claim before granting anything

Found by reading the design against the code: a new primary granted what the rows that it knew said, and the one before may have moved shards by a row that had not reached it. The trace claimed_with_old_rows (a primary cut off from its domain but not from the table and the other domain) had shard 0 owned by u0 and u1 at 8,431 ms. Change: until the table has been read since the claim, a new primary only fences; the lease held before keeps service going meanwhile.

--- a/crates/owner/src/commit.rs
+++ b/crates/owner/src/commit.rs
@@ -11,6 +11,13 @@
         self.table.note_answer();
         self.learn_rows(now, rows, None);
         self.table.read_started = self.table.read_started.max(Some(started));
+        for held in self.held.values_mut() {
+            if held.has_fresh_rows || started < held.claim.learnt_at {
+                continue;
+            }
+            held.has_fresh_rows = true;
+            held.book.hasten(now);
+        }
         self.resend_unknown();
     }
 
--- a/crates/owner/src/held.rs
+++ b/crates/owner/src/held.rs
@@ -49,6 +49,11 @@
     pub address: String,
     pub book: LeaseBook,
     pub claim: ClaimWait,
+    /// Whether the table has been read since the claim was learnt of.
+    ///
+    /// The primary before may have moved shards by a row that has not arrived
+    /// yet, so nothing is granted or moved before that.
+    pub has_fresh_rows: bool,
     pub moves: IndexMap<ShardId, ShardMove>,
     /// Shards in a transaction whose outcome is open.
     pub committing: IndexSet<ShardId>,
@@ -72,6 +77,7 @@
                 learnt_at: now,
                 quorum_since: None,
             },
+            has_fresh_rows: false,
             moves: IndexMap::new(),
             committing: IndexSet::new(),
             busy: IndexSet::new(),
@@ -107,6 +113,9 @@
 
     /// Returns whether shards may be taken away without the upstream's word.
     pub fn is_lapsed(&self, now: Moment, timing: &Timing, unchecked_wait: Duration) -> bool {
+        if !self.has_fresh_rows {
+            return false;
+        }
         let lapsed_by = if let Some(replied_at) = self.book.last_reply_at() {
             // An upstream that answers gets its lease back, whatever has lapsed
             // while its primary changed.
@@ -124,6 +133,9 @@
     pub fn note_reply(&mut self, now: Moment, reply: &LeaseReply, assigned: &[ShardGrant]) {
         self.busy = reply.busy.iter().copied().collect();
         self.running = reply.running;
+        if !self.has_fresh_rows {
+            return;
+        }
         if reply.held_tag.is_none() {
             self.confirmed.clear();
         }
--- a/crates/owner/src/learn.rs
+++ b/crates/owner/src/learn.rs
@@ -99,6 +99,7 @@
             }
             let held = HeldUpstream::new(now, entry, version);
             self.held.insert(id.clone(), held);
+            self.table.wants_read = true;
         }
         self.note_claim_quorums(now);
     }
--- a/crates/owner/src/lease.rs
+++ b/crates/owner/src/lease.rs
@@ -128,6 +128,11 @@
         now >= self.next_order_at
     }
 
+    /// Puts the next order off by the time between renewals.
+    pub fn postpone(&mut self, now: Moment, timing: &Timing) {
+        self.next_order_at = now + timing.renew();
+    }
+
     /// Brings the next order forward.
     pub fn hasten(&mut self, now: Moment) {
         self.next_order_at = now;
--- a/crates/owner/src/renew.rs
+++ b/crates/owner/src/renew.rs
@@ -96,6 +96,9 @@
     timing: &Timing,
     assigned: &[ShardGrant],
 ) -> Action {
+    if !held.has_fresh_rows {
+        return fence(held, id, now, timing);
+    }
     let wanted = held.wanted_grants(assigned);
     let tag = grant_tag(&held.service, &wanted);
     let until_us = held.book.order(now, timing);
@@ -118,3 +121,21 @@
         },
     }
 }
+
+/// Builds an order that fences earlier primaries and neither grants nor extends.
+fn fence(held: &mut HeldUpstream, id: &UpstreamId, now: Moment, timing: &Timing) -> Action {
+    held.book.postpone(now, timing);
+    held.order_in_flight = true;
+    Action::OrderLease {
+        upstream: id.clone(),
+        address: held.address.clone(),
+        order: LeaseOrder {
+            epoch: held.book.epoch(),
+            sequence: held.book.next_sequence(),
+            boot: None,
+            until_us: None,
+            tag: 0,
+            grants: None,
+        },
+    }
+}
--- a/crates/replay/tests/traces.rs
+++ b/crates/replay/tests/traces.rs
@@ -15,6 +15,7 @@
 #[case::all_hosts_replaced(include_str!("../traces/all_hosts_replaced.jsonl"))]
 #[case::upstream_leaves(include_str!("../traces/upstream_leaves.jsonl"))]
 #[case::domain_lost(include_str!("../traces/domain_lost.jsonl"))]
+#[case::claimed_with_old_rows(include_str!("../traces/claimed_with_old_rows.jsonl"))]
 #[case::planned_stop(include_str!("../traces/planned_stop.jsonl"))]
 fn trace_holds(#[case] text: &str) {
     match run_trace(text) {
