--- a/crates/replay/src/random.rs
+++ b/crates/replay/src/random.rs
@@ -73,7 +73,7 @@
     let host = rng.u32(..setup.hosts);
     let other = (host + 1 + rng.u32(..setup.hosts.max(2) - 1)) % setup.hosts;
     let upstream = rng.u32(..setup.upstreams);
-    match rng.u32(..19) {
+    match rng.u32(..24) {
         0 => WorldStep::CrashHost(host),
         1 | 2 => WorldStep::StartHost(host),
         3 => WorldStep::PauseHost(host),
@@ -88,6 +88,9 @@
         15 => WorldStep::HealCuts,
         16 => WorldStep::TableDown,
         17 => WorldStep::TableUp,
+        18 | 19 => WorldStep::CutSides(rng.u32(..)),
+        20 => WorldStep::LeaveUpstream(upstream),
+        21 | 22 => WorldStep::ReturnUpstream(upstream),
         _ => WorldStep::LoseAnswers(rng.bool()),
     }
 }
@@ -103,6 +106,7 @@
         world.apply(WorldStep::StartHost(host));
     }
     for upstream in 0..setup.upstreams {
+        world.apply(WorldStep::ReturnUpstream(upstream));
         world.apply(WorldStep::ThawUpstream(upstream));
         if !world.upstreams[upstream as usize].is_alive {
             world.apply(WorldStep::StartUpstream(upstream));
--- a/crates/replay/src/script.rs
+++ b/crates/replay/src/script.rs
@@ -37,6 +37,8 @@
     DeclareBack(u32, u32),
     /// Two hosts can't reach each other.
     CutHosts(u32, u32),
+    /// Hosts whose bits are set can't reach the others.
+    CutSides(u32),
     /// A host can't reach an upstream.
     CutUpstream(u32, u32),
     /// A host can't reach the table.
--- a/crates/replay/src/world.rs
+++ b/crates/replay/src/world.rs
@@ -228,6 +228,7 @@
                 let b = Place::Host(self.host_mut(b).id.clone());
                 self.cut(a, b);
             }
+            WorldStep::CutSides(mask) => self.cut_sides(mask),
             WorldStep::CutUpstream(host, upstream) => {
                 let host = Place::Host(self.host_mut(host).id.clone());
                 let upstream = Place::Upstream(self.upstream_mut(upstream).listed.id.clone());
@@ -280,6 +281,20 @@
         &mut self.upstreams[number as usize % count]
     }
 
+    fn cut_sides(&mut self, mask: u32) {
+        let is_set = |index: usize| mask >> (index % 32) & 1 == 1;
+        for a in 0..self.hosts.len() {
+            for b in 0..self.hosts.len() {
+                if !is_set(a) || is_set(b) {
+                    continue;
+                }
+                let a = Place::Host(self.hosts[a].id.clone());
+                let b = Place::Host(self.hosts[b].id.clone());
+                self.cut(a, b);
+            }
+        }
+    }
+
     fn declare(&mut self, host: u32, domain: u32, is_lost: bool) {
         let id = self.host_mut(host).id.clone();
         let domain = DomainName::from(format!("d{domain}"));
