Let planned moves for balance begin again

Cause: a move needs a read of the table no older than 150 ms, and the balance was weighed every 500 ms: the read that it asked for was too old each time. With skewed load (examples/skew.json, 600 requests/s) the imbalance was 1.60 with 0 moves, as with static placement. Change: the balance is weighed again 40 ms after such a read.

--- a/crates/owner/src/balance.rs
+++ b/crates/owner/src/balance.rs
@@ -10,6 +10,8 @@
 /// A move begins only if the table has answered a read this recently: a shard
 /// whose move can't be committed is served by nobody.
 const TABLE_FRESH: Duration = Duration::from_millis(150);
+/// Time for a read that a move waits for.
+const READ_WAIT: Duration = Duration::from_millis(40);
 /// Loads settle for this long after a move before the next one is weighed.
 const MOVE_PAUSE: Duration = Duration::from_secs(2);
 /// Weight of a new measurement, in percent.
@@ -17,6 +19,15 @@
 /// An upstream is relieved once it has been found overloaded this often in turn.
 const OVERLOADED_ROUNDS: u32 = 4;
 
+/// What became of weighing an upstream's load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Relief {
+    /// Nothing is left to do for now.
+    Done,
+    /// A move waits for the table to be read.
+    AwaitsRead,
+}
+
 /// Slot time that one shard of a held upstream used.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ShardLoad {
@@ -96,7 +107,9 @@
         self.loads.next_balance_at = now + BALANCE_PERIOD;
         let ids: Vec<UpstreamId> = self.held.keys().cloned().collect();
         for id in ids {
-            self.relieve(now, &id);
+            if self.relieve(now, &id) == Relief::AwaitsRead {
+                self.loads.next_balance_at = now + READ_WAIT;
+            }
         }
     }
 
@@ -156,17 +169,17 @@
         Some((id, domain))
     }
 
-    fn relieve(&mut self, now: Moment, id: &UpstreamId) {
+    fn relieve(&mut self, now: Moment, id: &UpstreamId) -> Relief {
         let held = &self.held[id];
         let is_busy_moving = !held.moves.is_empty() || !held.committing.is_empty();
         let moved_at = self.loads.last_move_at.get(id).copied();
         let is_pausing = moved_at.is_some_and(|at| now - at < MOVE_PAUSE);
         if is_busy_moving || is_pausing || !held.is_usable(now) || self.is_upstream_leaving(id) {
-            return;
+            return Relief::Done;
         }
         let grants = self.assigned_grants(&held.service, id);
         if grants.len() < 2 {
-            return;
+            return Relief::Done;
         }
         let candidates = self.candidates(now, &held.service, id);
         let from = UpstreamStanding {
@@ -183,15 +196,19 @@
         };
         let Some((shard, target)) = self.policy.pick_move(&from, &shards, &view) else {
             self.loads.overloaded_rounds.swap_remove(id);
-            return;
+            return Relief::Done;
         };
         let target = (target.id.clone(), target.domain.clone());
         let rounds = self.loads.overloaded_rounds.entry(id.clone()).or_insert(0);
         *rounds += 1;
-        if *rounds < OVERLOADED_ROUNDS || !self.may_begin_move(now) {
-            return;
+        if *rounds < OVERLOADED_ROUNDS {
+            return Relief::Done;
+        }
+        if !self.may_begin_move(now) {
+            return Relief::AwaitsRead;
         }
         self.begin_move(now, id, shard, target);
+        Relief::Done
     }
 
     fn begin_move(
--- a/crates/replay/src/setup.rs
+++ b/crates/replay/src/setup.rs
@@ -23,6 +23,9 @@
     pub loss_percent: u8,
     /// By how much upstreams' clocks run fast or slow, in parts per million.
     pub drift_ppm: i32,
+    /// Slot time that each shard uses, in milliseconds per second; shards beyond
+    /// the list use none.
+    pub loads: Vec<u32>,
     /// Intervals of the hosts.
     pub timing: Timing,
 }
@@ -38,6 +41,7 @@
             delay_ms: 3,
             loss_percent: 0,
             drift_ppm: 0,
+            loads: Vec::new(),
             timing: Timing::default(),
         }
     }
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -27,8 +27,12 @@
     LongestUnownedMs(u64),
     /// So many shards have changed owners since this was last asked.
     Moves(u64),
+    /// No more shards than so many have changed owners since this was last asked.
+    MovesAtMost(u64),
     /// So many upstreams take new work.
     LiveUpstreams(usize),
+    /// The greatest load of an upstream is at most so many percent of the mean.
+    ImbalancePercent(u64),
     /// No more transactions than so many have taken effect.
     CommitsAtMost(u64),
     /// So many violations have been found.
@@ -137,7 +141,15 @@
             let moves = sum - std::mem::replace(epochs, sum);
             Outcome::Moves(moves)
         }
+        Outcome::MovesAtMost(most) => {
+            let sum = world.epoch_sum();
+            let moves = sum - std::mem::replace(epochs, sum);
+            Outcome::MovesAtMost(moves.max(most))
+        }
         Outcome::LiveUpstreams(_) => Outcome::LiveUpstreams(world.live_upstreams()),
+        Outcome::ImbalancePercent(most) => {
+            Outcome::ImbalancePercent(world.imbalance_percent().max(most))
+        }
         Outcome::CommitsAtMost(most) => Outcome::CommitsAtMost(world.commits().max(most)),
         Outcome::Violations(_) => Outcome::Violations(world.violations().len()),
     };
--- a/crates/replay/src/world.rs
+++ b/crates/replay/src/world.rs
@@ -9,7 +9,8 @@
 use kernel::{DomainName, HostId, Moment, ServiceName, ShardId, UpstreamId, find_plugin};
 use member::Beat;
 use owner::{
-    ConfigRow, ControlCore, Event, HostAddress, PlacementPlugin, PlatformList, TableTransaction,
+    ConfigRow, ControlCore, Event, HostAddress, PlacementPlugin, PlatformList, ShardLoad,
+    TableTransaction,
 };
 use sheet::{Sheet, SheetDigest};
 use std::sync::Arc;
@@ -19,6 +20,7 @@
 pub(crate) const TICK: Duration = Duration::from_millis(10);
 const LIST_PERIOD: Duration = Duration::from_millis(400);
 const LIST_BACKGROUND_FACTOR: u32 = 16;
+const LOAD_PERIOD: Duration = Duration::from_millis(500);
 const SERVICE: &str = "charts";
 
 #[derive(Clone, Debug)]
@@ -31,6 +33,7 @@
     pub(crate) waiting: Vec<Message>,
     next_tick: Moment,
     next_list: Moment,
+    next_loads: Moment,
 }
 
 /// A world in virtual time.
@@ -104,6 +107,7 @@
                 waiting: Vec::new(),
                 next_tick: world.now,
                 next_list: world.now,
+                next_loads: world.now,
             });
             world.start_host(number as usize);
         }
@@ -418,10 +422,50 @@
             };
             self.feed(&id, Event::ListRead(list));
         }
+        if now >= self.hosts[index].next_loads {
+            self.hosts[index].next_loads = now + LOAD_PERIOD;
+            self.measure_loads(index);
+        }
         self.feed(&id, Event::Tick);
         self.check();
     }
 
+    /// Tells a host the loads of the shards that its upstreams own.
+    fn measure_loads(&mut self, index: usize) {
+        let loads = &self.setup.loads;
+        let Some(core) = &mut self.hosts[index].core else {
+            return;
+        };
+        let mut measured = Vec::new();
+        for upstream in core.owned_upstreams() {
+            for (grant, _) in &upstream.grants {
+                measured.push(ShardLoad {
+                    upstream: upstream.id.clone(),
+                    shard: Some(grant.shard),
+                    slot_ms: loads.get(grant.shard.0 as usize).copied().unwrap_or(0),
+                });
+            }
+        }
+        core.set_loads(&measured);
+    }
+
+    /// Returns the greatest load of an upstream over the mean, in percent.
+    pub fn imbalance_percent(&self) -> u64 {
+        let mut by_upstream: IndexMap<UpstreamId, u64> = IndexMap::new();
+        for row in self.table_rows() {
+            let owner::RowContent::Assign(assign) = row.content else {
+                continue;
+            };
+            for (shard, entry) in &assign.shards {
+                let load = self.setup.loads.get(shard.0 as usize).copied().unwrap_or(0);
+                *by_upstream.entry(entry.upstream.clone()).or_insert(0) += u64::from(load);
+            }
+        }
+        let total: u64 = by_upstream.values().sum();
+        let most = by_upstream.values().copied().max().unwrap_or(0);
+        most * 100 * u64::from(self.setup.upstreams) / total.max(1)
+    }
+
     pub(crate) fn feed(&mut self, host: &HostId, event: Event) {
         let now = self.now;
         let found = self.hosts.iter_mut().find(|known| known.id == *host);
--- a/crates/replay/tests/traces.rs
+++ b/crates/replay/tests/traces.rs
@@ -16,6 +16,7 @@
 #[case::upstream_leaves(include_str!("../traces/upstream_leaves.jsonl"))]
 #[case::domain_lost(include_str!("../traces/domain_lost.jsonl"))]
 #[case::claimed_with_old_rows(include_str!("../traces/claimed_with_old_rows.jsonl"))]
+#[case::load_skewed(include_str!("../traces/load_skewed.jsonl"))]
 #[case::planned_stop(include_str!("../traces/planned_stop.jsonl"))]
 fn trace_holds(#[case] text: &str) {
     match run_trace(text) {
