--- a/crates/owner/src/core.rs
+++ b/crates/owner/src/core.rs
@@ -57,6 +57,7 @@
     pub(crate) moves_begun: u64,
     pub(crate) violations: u64,
     generation: u64,
+    view_stamp: u64,
     actions: Vec<Action>,
 }
 
@@ -118,6 +119,7 @@
             moves_begun: 0,
             violations: 0,
             generation: 0,
+            view_stamp: 0,
             actions: Vec::new(),
         }
     }
@@ -233,6 +235,17 @@
         if !is_frequent {
             self.propose(now);
         }
+        self.touch_if_view_changed();
+    }
+
+    /// Lets traffic look again when a held upstream's grants have changed.
+    fn touch_if_view_changed(&mut self) {
+        let stamps = self.held.iter().map(|(id, held)| held.view_stamp(id));
+        let stamp = stamps.fold(0, u64::wrapping_add);
+        if stamp != self.view_stamp {
+            self.view_stamp = stamp;
+            self.touch();
+        }
     }
 
     /// Returns the heartbeat to send now.
--- a/crates/owner/src/held.rs
+++ b/crates/owner/src/held.rs
@@ -4,6 +4,7 @@
 use indexmap::{IndexMap, IndexSet};
 use kernel::{DomainName, HostId, Moment, ServiceName, ShardId, UpstreamId, Version};
 use std::time::Duration;
+use xxhash_rust::xxh3::Xxh3;
 
 /// A planned move that waits longer than this for running work is called off.
 const MOVE_PATIENCE: Duration = Duration::from_millis(700);
@@ -60,6 +61,8 @@
     pub busy: IndexSet<ShardId>,
     /// Grants that the upstream is known to hold.
     pub confirmed: IndexSet<ShardGrant>,
+    /// Grows with each change of `confirmed`.
+    pub confirmations: u64,
     pub running: u32,
     pub order_in_flight: bool,
     pub is_lost: bool,
@@ -82,6 +85,7 @@
             committing: IndexSet::new(),
             busy: IndexSet::new(),
             confirmed: IndexSet::new(),
+            confirmations: 0,
             running: 0,
             order_in_flight: false,
             is_lost: false,
@@ -136,19 +140,40 @@
         if !self.has_fresh_rows {
             return;
         }
+        let mut confirmed: IndexSet<ShardGrant> = self.confirmed.clone();
         if reply.held_tag.is_none() {
-            self.confirmed.clear();
+            confirmed.clear();
         }
-        if !self.holds_wanted(assigned) {
-            return;
-        }
-        self.confirmed = self.wanted_grants(assigned).into_iter().collect();
-        for (shard, shard_move) in &mut self.moves {
-            if self.busy.contains(shard) {
-                continue;
+        if self.holds_wanted(assigned) {
+            confirmed = self.wanted_grants(assigned).into_iter().collect();
+            for (shard, shard_move) in &mut self.moves {
+                if self.busy.contains(shard) {
+                    continue;
+                }
+                shard_move.released_at = shard_move.released_at.or(Some(now));
             }
-            shard_move.released_at = shard_move.released_at.or(Some(now));
         }
+        if confirmed != self.confirmed {
+            self.confirmed = confirmed;
+            self.confirmations += 1;
+        }
+    }
+
+    /// Returns a hash that changes with whatever traffic sees of the upstream
+    /// besides the assignment rows.
+    pub fn view_stamp(&self, id: &UpstreamId) -> u64 {
+        let mut hasher = Xxh3::new();
+        hasher.update(id.as_str().as_bytes());
+        hasher.update(&self.book.epoch().0.to_le_bytes());
+        hasher.update(&self.confirmations.to_le_bytes());
+        for shard in self.moves.keys() {
+            hasher.update(&shard.0.to_le_bytes());
+        }
+        hasher.update(b"committing");
+        for shard in &self.committing {
+            hasher.update(&shard.0.to_le_bytes());
+        }
+        hasher.digest()
     }
 
     /// Calls off moves that have waited too long for running work.
--- a/crates/replay/src/world.rs
+++ b/crates/replay/src/world.rs
@@ -9,8 +9,8 @@
 use kernel::{DomainName, HostId, Moment, ServiceName, ShardId, UpstreamId, find_plugin};
 use member::Beat;
 use owner::{
-    ConfigRow, ControlCore, Event, HostAddress, PlacementPlugin, PlatformList, ShardLoad,
-    TableTransaction,
+    ConfigRow, ControlCore, Event, HostAddress, PlacementPlugin, PlatformList, ShardGrant,
+    ShardLoad, ShardPhase, TableTransaction,
 };
 use sheet::{Sheet, SheetDigest};
 use std::sync::Arc;
@@ -34,6 +34,26 @@
     next_tick: Moment,
     next_list: Moment,
     next_loads: Moment,
+    published: Option<PublishedView>,
+}
+
+/// What traffic was last told; it looks again only when the generation grows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct PublishedView {
+    generation: u64,
+    grants: Vec<(UpstreamId, Vec<(ShardGrant, ShardPhase)>)>,
+}
+
+impl PublishedView {
+    fn of(core: &ControlCore) -> Self {
+        let owned = core.owned_upstreams().into_iter();
+        Self {
+            generation: core.generation(),
+            grants: owned
+                .map(|upstream| (upstream.id, upstream.grants))
+                .collect(),
+        }
+    }
 }
 
 /// A world in virtual time.
@@ -108,6 +128,7 @@
                 next_tick: world.now,
                 next_list: world.now,
                 next_loads: world.now,
+                published: None,
             });
             world.start_host(number as usize);
         }
@@ -323,6 +344,7 @@
         host.id = HostId::of_run(&format!("h{index}"), &host.boots.to_string());
         host.is_paused = false;
         host.waiting.clear();
+        host.published = None;
         host.next_tick = now;
         host.next_list = now;
         let address = HostAddress {
@@ -469,11 +491,26 @@
     pub(crate) fn feed(&mut self, host: &HostId, event: Event) {
         let now = self.now;
         let found = self.hosts.iter_mut().find(|known| known.id == *host);
-        let Some(core) = found.and_then(|known| known.core.as_mut()) else {
+        let Some(known) = found else {
+            return;
+        };
+        let Some(core) = known.core.as_mut() else {
             return;
         };
         core.handle(now, event);
+        let view = PublishedView::of(core);
+        let is_unpublished = known
+            .published
+            .as_ref()
+            .is_some_and(|seen| seen.generation == view.generation && seen.grants != view.grants);
+        known.published = Some(view);
         let actions = core.take_actions();
+        if is_unpublished && self.violations.len() < 10 {
+            let at = self.now_ms();
+            self.violations.push(format!(
+                "{at} ms: {host} changed its grants and did not say so"
+            ));
+        }
         for action in actions {
             self.perform(host, action);
         }
