--- a/crates/retry/src/budget.rs
+++ b/crates/retry/src/budget.rs
@@ -1,5 +1,8 @@
 //! A bound on retries as a share of first tries.
 
+/// Allowance for shares that do not add up to a whole in binary.
+const ROUNDING: f64 = 1e-9;
+
 /// A token bucket that first tries fill and retries empty.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
@@ -25,10 +28,10 @@
 
     /// Takes one retry out of the budget; `false` when it is spent.
     pub fn try_spend(&mut self) -> bool {
-        if self.tokens < 1.0 {
+        if self.tokens < 1.0 - ROUNDING {
             return false;
         }
-        self.tokens -= 1.0;
+        self.tokens = (self.tokens - 1.0).max(0.0);
         true
     }
 }
