Build lease orders in one place; one wall clock

The fencing order and the renewing one were the same literal twice, and the gate and the host each read the wall clock by their own function. Behaviour is as before: format, lints and the tests of kernel, owner, replay, gate and host pass.

--- a/crates/gate/src/journal.rs
+++ b/crates/gate/src/journal.rs
@@ -6,11 +6,11 @@
 
 use async_channel::{Receiver, Sender, bounded};
 use futures::channel::oneshot;
-use kernel::{Cause, Clock, Moment, TaskScope};
+use kernel::{Cause, Clock, Moment, TaskScope, wall_clock_ms};
 use retry::{JournalEntry, JournalState, StartDecision, StoredAnswer, decide_start, journal_key};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use store::{CommitError, StoreRow, StoreTransaction, TableStore};
 
 const MOST_IN_BATCH: usize = 64;
@@ -340,9 +340,3 @@
     let entry = serde_json::from_value(row.value.clone()).ok()?;
     Some((row.version, entry))
 }
-
-pub(crate) fn wall_clock_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |since| since.as_millis() as u64)
-}
--- a/crates/host/src/perform.rs
+++ b/crates/host/src/perform.rs
@@ -2,7 +2,7 @@
 
 use crate::hub::ControlHub;
 use http_types::Method;
-use kernel::{Epoch, Moment, UpstreamId, Version};
+use kernel::{Epoch, Moment, UpstreamId, Version, wall_clock_ms};
 use log::{info, warn};
 use owner::{
     Action, CommitId, CommitOutcome, Event, LeaseOrder, LeaseReply, LeaseResult, RowContent,
@@ -191,12 +191,6 @@
     }
 }
 
-pub(crate) fn wall_clock_ms() -> u64 {
-    std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .map_or(0, |since| since.as_millis() as u64)
-}
-
 async fn send_order(client: &JsonClient, order: &LeaseOrder) -> LeaseResult {
     let Ok(body) = serde_json::to_vec(order) else {
         return LeaseResult::Failed;
--- a/crates/host/src/submit.rs
+++ b/crates/host/src/submit.rs
@@ -2,8 +2,7 @@
 
 use crate::control::{ControlHandle, ControlRequest};
 use crate::hub::PlatformPorts;
-use crate::perform::wall_clock_ms;
-use kernel::Version;
+use kernel::{Version, wall_clock_ms};
 use owner::{ConfigRow, RowContent, RowKey, VersionedRow};
 use serde::Serialize;
 use sheet::{Sheet, SheetChange, SheetDigest, list_changes};
--- a/crates/host/src/sweep.rs
+++ b/crates/host/src/sweep.rs
@@ -1,8 +1,7 @@
 //! Removal of journal entries that have expired.
 
 use crate::hub::ControlHub;
-use crate::perform::wall_clock_ms;
-use kernel::TimerService;
+use kernel::{TimerService, wall_clock_ms};
 use log::{info, warn};
 use retry::JournalEntry;
 use std::rc::Rc;
--- a/crates/kernel/src/time.rs
+++ b/crates/kernel/src/time.rs
@@ -4,7 +4,7 @@
 use std::ops::{Add, Sub};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A monotonic point in time, in microseconds since an origin of its process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -107,3 +107,10 @@
         Moment(self.micros.load(Ordering::SeqCst))
     }
 }
+
+/// Returns the wall clock's time, in milliseconds since 1970.
+pub fn wall_clock_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
+}
--- a/crates/owner/src/renew.rs
+++ b/crates/owner/src/renew.rs
@@ -89,6 +89,7 @@
     }
 }
 
+/// Builds the next order, which only fences until the rows are known to be fresh.
 fn build_order(
     held: &mut HeldUpstream,
     id: &UpstreamId,
@@ -96,46 +97,29 @@
     timing: &Timing,
     assigned: &[ShardGrant],
 ) -> Action {
-    if !held.has_fresh_rows {
-        return fence(held, id, now, timing);
-    }
-    let wanted = held.wanted_grants(assigned);
-    let tag = grant_tag(&held.service, &wanted);
-    let until_us = held.book.order(now, timing);
-    let grants = if held.book.held_tag() == Some(tag) {
-        None
-    } else {
-        Some(wanted)
+    let mut order = LeaseOrder {
+        epoch: held.book.epoch(),
+        sequence: held.book.next_sequence(),
+        boot: None,
+        until_us: None,
+        tag: 0,
+        grants: None,
     };
-    held.order_in_flight = true;
-    Action::OrderLease {
-        upstream: id.clone(),
-        address: held.address.clone(),
-        order: LeaseOrder {
-            epoch: held.book.epoch(),
-            sequence: held.book.next_sequence(),
-            boot: held.book.boot(),
-            until_us,
-            tag,
-            grants,
-        },
+    if held.has_fresh_rows {
+        let wanted = held.wanted_grants(assigned);
+        order.boot = held.book.boot();
+        order.until_us = held.book.order(now, timing);
+        order.tag = grant_tag(&held.service, &wanted);
+        if held.book.held_tag() != Some(order.tag) {
+            order.grants = Some(wanted);
+        }
+    } else {
+        held.book.postpone(now, timing);
     }
-}
-
-/// Builds an order that fences earlier primaries and neither grants nor extends.
-fn fence(held: &mut HeldUpstream, id: &UpstreamId, now: Moment, timing: &Timing) -> Action {
-    held.book.postpone(now, timing);
     held.order_in_flight = true;
     Action::OrderLease {
         upstream: id.clone(),
         address: held.address.clone(),
-        order: LeaseOrder {
-            epoch: held.book.epoch(),
-            sequence: held.book.next_sequence(),
-            boot: None,
-            until_us: None,
-            tag: 0,
-            grants: None,
-        },
+        order,
     }
 }
