--- a/crates/ebonytrestle/src/main.rs
+++ b/crates/ebonytrestle/src/main.rs
@@ -3,6 +3,7 @@
 //! `ebonytrestle --settings FILE` runs a host until SIGTERM, which stops it
 //! without cutting a request; a second signal ends it at once.
 
+mod join;
 mod options;
 mod signals;
 
@@ -53,6 +54,11 @@
             println!("{}", serde_json::to_string_pretty(&settings)?);
             Ok(())
         }
+        Command::Join {
+            platform,
+            settings,
+            is_check,
+        } => join::join(&platform, settings, is_check),
         Command::Serve(path) => {
             let settings = load(&path)?;
             start_log(&settings.log)?;
@@ -97,7 +103,9 @@
         "id={} callers={} peers={} control={} admin={}",
         host.id(), addresses.callers, addresses.peers, addresses.control, addresses.admin,
     );
-    signals.next().await;
+    while signals.next().await.is_reload() {
+        info!(target: "host", "id={} reload ignored: settings need a restart", host.id());
+    }
     info!(target: "host", "id={} stopping", host.id());
     let stopping = async_std::task::spawn({
         let host = host.clone();
--- a/crates/ebonytrestle/src/options.rs
+++ b/crates/ebonytrestle/src/options.rs
@@ -7,8 +7,11 @@
 /// Help text.
 pub(crate) const USAGE: &str = "\
 usage: ebonytrestle --settings FILE [--check]
+       ebonytrestle --platform NAME [--settings FILE] [--check]
 
     -s, --settings FILE  settings in JSON
+    -p, --platform NAME  run on a platform, with settings in its own format;
+                         their path is in the variable that the platform sets
         --check          print the checked settings and exit
     -h, --help           print this help
     -V, --version        print the version
@@ -22,6 +25,15 @@
     Serve(PathBuf),
     /// Check settings.
     Check(PathBuf),
+    /// Run a host on a platform; without a path, the platform's variable has it.
+    Join {
+        /// Name of the platform's adapter.
+        platform: String,
+        /// Settings in the platform's format.
+        settings: Option<PathBuf>,
+        /// Whether the settings are only checked.
+        is_check: bool,
+    },
     /// Print the help text.
     Help,
     /// Print the version.
@@ -43,6 +55,7 @@
     let mut options = Options::new();
     options
         .optopt("s", "settings", "", "FILE")
+        .optopt("p", "platform", "", "NAME")
         .optflag("", "check", "")
         .optflag("h", "help", "")
         .optflag("V", "version", "");
@@ -58,6 +71,13 @@
     if let Some(free) = matches.free.first() {
         return Err(UsageError(format!("unexpected argument `{free}`")));
     }
+    if let Some(platform) = matches.opt_str("platform") {
+        return Ok(Command::Join {
+            platform,
+            settings: matches.opt_str("settings").map(PathBuf::from),
+            is_check: matches.opt_present("check"),
+        });
+    }
     let Some(path) = matches.opt_str("settings") else {
         return Err(UsageError("--settings is required".to_owned()));
     };
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,22 @@
+//! Upstreams as their entries describe them.
+//!
+//! A [`FleetView`] holds the entries that a host has learnt and decides which
+//! upstreams may still be used. An entry can lapse because its upstream is gone
+//! or because the store was away; the view keeps a lapsed upstream in use for a
+//! short time, so that an outage of the store costs no service.
+//!
+//! ```
+//! use fleet::{FleetTiming, FleetView, UpstreamEntry};
+//! use kernel::Moment;
+//!
+//! let mut view = FleetView::new(FleetTiming::default());
+//! let now = Moment::from_millis(1_000);
+//! view.apply(now, UpstreamEntry::ready("i-1", "charts", "10.0.0.1:80".parse().unwrap(), 4));
+//! assert!(view.get("i-1").unwrap().takes_new_work(now));
+//! ```
+
+mod entry;
+mod view;
+
+pub use entry::{ReportedState, UpstreamEntry};
+pub use view::{FleetTiming, FleetView, KnownUpstream, Presence};
--- /dev/null
+++ b/crates/front/src/answer.rs
@@ -0,0 +1,77 @@
+//! What a client is told.
+
+use h1::{HeaderList, encode_response_head};
+use kernel::{Refusal, Verdict};
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Returns whether a header concerns one connection only.
+pub(crate) fn is_hop_header(name: &str) -> bool {
+    HOP_HEADERS.contains(&name)
+}
+
+/// An upstream's whole answer.
+#[derive(Clone, Debug)]
+pub(crate) struct UpstreamAnswer {
+    pub status: u16,
+    pub headers: HeaderList,
+    pub body: Vec<u8>,
+    /// Whether the status or method forbids a body, so that its length is no
+    /// statement about `body`.
+    pub is_bodiless: bool,
+}
+
+/// Encodes an upstream's answer for the client.
+pub(crate) fn encode_answer(answer: &UpstreamAnswer, keeps_alive: bool) -> Vec<u8> {
+    let mut headers = HeaderList::new();
+    for (name, value) in answer.headers.iter() {
+        if is_hop_header(name) || (name == "content-length" && !answer.is_bodiless) {
+            continue;
+        }
+        headers.push(name, value);
+    }
+    if !answer.is_bodiless {
+        headers.push("content-length", answer.body.len().to_string());
+    }
+    if !keeps_alive {
+        headers.push("connection", "close");
+    }
+    let mut bytes = encode_response_head(answer.status, &headers);
+    bytes.extend_from_slice(&answer.body);
+    bytes
+}
+
+/// Encodes an answer of the host's own.
+pub(crate) fn encode_refusal(
+    refusal: Refusal,
+    request_id: Option<(&str, &str)>,
+    keeps_alive: bool,
+) -> Vec<u8> {
+    let mut headers = HeaderList::new();
+    if let Some((name, id)) = request_id {
+        headers.push(name, id);
+    }
+    headers.push("x-verdict", refusal.verdict().as_str());
+    headers.push("x-cause", refusal.cause.as_str());
+    if let Some(wait) = refusal.retry_after
+        && refusal.verdict() == Verdict::NotRun
+    {
+        headers.push("retry-after", format!("{:.3}", wait.as_secs_f64()));
+    }
+    headers.push("content-length", "0");
+    if !keeps_alive {
+        headers.push("connection", "close");
+    }
+    encode_response_head(refusal.cause.status(), &headers)
+}
--- /dev/null
+++ b/crates/front/src/dispatch.rs
@@ -0,0 +1,433 @@
+//! From a client's request to its answer: route, choose, send, try again.
+
+use crate::adapter::FrontBounds;
+use crate::answer::UpstreamAnswer;
+use crate::budgets::RetryBudgets;
+use crate::exchange::Exchanger;
+use crate::metrics::FrontMetrics;
+use crate::order::{ClientRequest, WorkOrder};
+use crate::view::{FrontView, ViewCell};
+use fleet::{KnownUpstream, Presence, UpstreamEntry};
+use grant::KeyLoads;
+use indexmap::IndexMap;
+use kernel::{Cause, Clock, DomainName, Moment, Refusal, ServiceName, UpstreamId, Verdict};
+use log::{debug, info};
+use parking_lot::Mutex;
+use place::{Choice, LoadReport, PlaceBook, Placement, SentRequest, WorkEnd, WorkNeed};
+use retry::QuarantineBook;
+use sheet::WorkKind;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// Between two looks at the view while keys change hands.
+const MOVE_POLL: Duration = Duration::from_millis(20);
+/// Longest wait for keys that change hands; a move takes as long as the requests
+/// that run, a few hundred milliseconds.
+const MOVE_PATIENCE: Duration = Duration::from_millis(600);
+/// When a client is asked to come back while upstreams or owners are missing.
+const SETTLE_RETRY: Duration = Duration::from_millis(400);
+/// Part of the target latency within which the answer is to be expected when a
+/// request is sent; the rest covers the estimate's error.
+const TARGET_PART: f64 = 0.9;
+/// What a small answer from another failure domain costs, as time: the round trip.
+const REMOTE_COST: Duration = Duration::from_millis(3);
+/// What a large answer from another failure domain costs, as time: links between
+/// domains are narrow and dear.
+const REMOTE_DOWNLOAD_COST: Duration = Duration::from_millis(150);
+/// Part of the drain bound within which the old holder of keys is still used.
+const DRAIN_PART: f64 = 0.7;
+/// Largest part of a client's time left that it waits before it comes back.
+const RETRY_PART: f64 = 0.33;
+
+/// What the dispatcher is made of.
+#[derive(Debug)]
+pub(crate) struct DispatchParts {
+    pub view: Arc<ViewCell>,
+    pub place: Mutex<PlaceBook>,
+    pub exchanger: Exchanger,
+    pub budgets: RetryBudgets,
+    pub quarantine: Mutex<QuarantineBook>,
+    pub key_loads: Mutex<IndexMap<ServiceName, KeyLoads>>,
+    pub clock: Arc<dyn Clock>,
+    pub domain: DomainName,
+    pub bounds: FrontBounds,
+    pub metrics: FrontMetrics,
+}
+
+/// Finds an answer for each request.
+#[derive(Clone, Debug)]
+pub(crate) struct Dispatcher {
+    pub parts: Arc<DispatchParts>,
+}
+
+/// How a request has fared so far.
+#[derive(Debug, Default)]
+struct TryRecord {
+    tried: Vec<UpstreamId>,
+    sends: u32,
+    /// The cause of a try that may have run.
+    doubt: Option<Cause>,
+    /// A failure that an upstream answered with.
+    failure: Option<UpstreamAnswer>,
+}
+
+/// Where a request can go now.
+enum Target {
+    To(Box<UpstreamEntry>, Duration),
+    /// Its key is changing hands.
+    Moving,
+    Refused(Refusal),
+}
+
+/// Ends a request's stay at an upstream, also when its task is dropped.
+struct StayGuard<'a> {
+    parts: &'a DispatchParts,
+    sent: SentRequest,
+    end: WorkEnd,
+    report: Option<LoadReport>,
+}
+
+impl Drop for StayGuard<'_> {
+    fn drop(&mut self) {
+        let now = self.parts.clock.now();
+        let mut place = self.parts.place.lock();
+        place.end(now, &self.sent, self.end, self.report);
+    }
+}
+
+impl Dispatcher {
+    /// Resolves a request to its route and service.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no sheet yet, no route, or the request lacks its id.
+    pub(crate) fn resolve(&self, request: ClientRequest) -> Result<WorkOrder, Refusal> {
+        let view = self.parts.view.load();
+        if view.sheet.is_none() {
+            return Err(Refusal::new(Cause::NoConfiguration).after(SETTLE_RETRY));
+        }
+        let host = request.head.headers.get("host").unwrap_or_default();
+        let route = view.routes.find(host, &request.head.target);
+        let route = Arc::clone(route.ok_or(Cause::NoRoute)?);
+        let service = route.choose_service().clone();
+        let is_divided = view.is_divided(&service);
+        let names = &self.parts.exchanger.names;
+        Ok(WorkOrder::new(request, route, service, is_divided, names)?)
+    }
+
+    /// Finds an answer for a request; `is_gone` says whether its client has left.
+    ///
+    /// # Errors
+    ///
+    /// Fails with a cause that says whether the request may have run.
+    pub(crate) async fn handle(
+        &self,
+        order: &WorkOrder,
+        is_gone: &AtomicBool,
+    ) -> Result<UpstreamAnswer, Refusal> {
+        let mut record = TryRecord::default();
+        self.note_key(order);
+        let outcome = self.try_until_done(order, &mut record, is_gone).await;
+        let outcome = outcome.map_err(|refusal| self.final_refusal(order, &record, refusal));
+        self.note_outcome(order, &record, &outcome);
+        outcome
+    }
+
+    fn note_key(&self, order: &WorkOrder) {
+        let Some(key) = order.key else {
+            return;
+        };
+        let mut loads = self.parts.key_loads.lock();
+        if let Some(loads) = loads.get_mut(&order.service) {
+            loads.note(key, 1.0);
+            return;
+        }
+        loads.entry(order.service.clone()).or_default().note(key, 1.0);
+    }
+
+    async fn try_until_done(
+        &self,
+        order: &WorkOrder,
+        record: &mut TryRecord,
+        is_gone: &AtomicBool,
+    ) -> Result<UpstreamAnswer, Refusal> {
+        let parts = &self.parts;
+        let rule = order.route.rule();
+        let started_at = parts.clock.now();
+        loop {
+            let now = parts.clock.now();
+            if now >= order.deadline {
+                return Err(Cause::DeadlineUnreachable.into());
+            }
+            if is_gone.load(Ordering::Relaxed) {
+                return Err(Cause::RequestTimeout.into());
+            }
+            self.check_quarantine(now, order)?;
+            let (entry, expected) = match self.find_target(now, order, record) {
+                Target::To(entry, expected) => (entry, expected),
+                Target::Refused(refusal) => return Err(refusal),
+                Target::Moving => {
+                    if now - started_at >= MOVE_PATIENCE {
+                        return Err(Refusal::new(Cause::ShardMoving).after(SETTLE_RETRY));
+                    }
+                    async_std::task::sleep(MOVE_POLL).await;
+                    continue;
+                }
+            };
+            if record.sends == 0 {
+                parts.budgets.note_first_try(&order.service);
+            } else if !parts.budgets.try_spend(&order.service) {
+                return Err(Cause::Overloaded.into());
+            } else {
+                parts.metrics.retries.inc();
+            }
+            record.sends += 1;
+            record.tried.push(entry.id.clone());
+            let outcome = self.send(order, &entry, expected).await;
+            let may_repeat = record.sends < rule.max_attempts;
+            match outcome {
+                Ok(answer) if answer.status < 500 || !order.is_idempotent() => {
+                    return Ok(answer);
+                }
+                Ok(answer) => {
+                    if !may_repeat {
+                        return Ok(answer);
+                    }
+                    record.failure = Some(answer);
+                }
+                Err(cause) => {
+                    if cause == Cause::UpstreamLost {
+                        self.note_loss(order, &entry).await;
+                    }
+                    let is_safe = cause.verdict() == Verdict::NotRun || order.is_idempotent();
+                    if cause.verdict() == Verdict::MayHaveRun {
+                        record.doubt = Some(cause);
+                    }
+                    if !is_safe || !may_repeat || !cause.is_retryable() {
+                        return Err(cause.into());
+                    }
+                    if cause == Cause::KeyMisplaced {
+                        async_std::task::sleep(MOVE_POLL).await;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn send(
+        &self,
+        order: &WorkOrder,
+        entry: &UpstreamEntry,
+        expected: Duration,
+    ) -> Result<UpstreamAnswer, Cause> {
+        let parts = &self.parts;
+        let now = parts.clock.now();
+        debug!(
+            target: "send",
+            "request={} service={} upstream={} expected_ms={} left_ms={}",
+            order.id, order.service, entry.id, expected.as_millis(),
+            (order.deadline - now).as_millis(),
+        );
+        let sent = parts.place.lock().begin(now, &entry.id, entry.slots);
+        let mut stay = StayGuard {
+            parts,
+            sent,
+            end: WorkEnd::GivenUp,
+            report: None,
+        };
+        let exchanged = parts.exchanger.exchange(entry, order).await;
+        stay.end = exchanged.end;
+        stay.report = exchanged.report;
+        drop(stay);
+        exchanged.result
+    }
+
+    /// Refuses a request that crashes the upstreams that run it.
+    fn check_quarantine(&self, now: Moment, order: &WorkOrder) -> Result<(), Refusal> {
+        let book = self.parts.quarantine.lock();
+        if book.iter(now).next().is_none() {
+            return Ok(());
+        }
+        match book.refused_for(now, order.fingerprint()) {
+            Some(wait) => Err(Refusal::new(Cause::Quarantined).after(wait)),
+            None => Ok(()),
+        }
+    }
+
+    /// Blames a request for the end of an upstream that ran it.
+    async fn note_loss(&self, order: &WorkOrder, entry: &UpstreamEntry) {
+        let probe = h1::dial(entry.address, crate::pool::CONNECT_LIMIT).await;
+        if !matches!(probe, Err(h1::DialError::Refused(_))) {
+            return;
+        }
+        let now = self.parts.clock.now();
+        info!(
+            target: "suspect",
+            "request={} upstream={} fingerprint={:016x} state=ended",
+            order.id, entry.id, order.fingerprint(),
+        );
+        self.parts.quarantine.lock().note_loss(now, order.fingerprint());
+    }
+
+    fn find_target(&self, now: Moment, order: &WorkOrder, record: &TryRecord) -> Target {
+        let view = self.parts.view.load();
+        match order.key {
+            Some(key) => self.find_owner(now, order, key, &view),
+            None => self.choose_upstream(now, order, record, &view),
+        }
+    }
+
+    fn need(&self, now: Moment, order: &WorkOrder) -> WorkNeed {
+        let rule = order.route.rule();
+        let spent = now - order.received_at;
+        let left = order.deadline - now;
+        let target = rule.target_latency.mul_f64(TARGET_PART).saturating_sub(spent);
+        WorkNeed {
+            patience: if target.is_zero() { left } else { target.min(left) },
+            remote_cost: match rule.kind {
+                WorkKind::Download => REMOTE_DOWNLOAD_COST,
+                WorkKind::Idempotent | WorkKind::NonIdempotent => REMOTE_COST,
+            },
+        }
+    }
+
+    /// Finds the upstream that holds the request's key.
+    fn find_owner(&self, now: Moment, order: &WorkOrder, key: u16, view: &FrontView) -> Target {
+        let range = view.owners.get(&order.service).and_then(|map| map.find(key));
+        let Some(range) = range.filter(|range| range.is_held) else {
+            return Target::Moving;
+        };
+        let Some(owner) = &range.owner else {
+            return Target::Moving;
+        };
+        let Some(known) = view.upstreams.get(&owner.upstream) else {
+            return Target::Moving;
+        };
+        let is_same_run = known.entry.started_at_ms == owner.run;
+        if !is_same_run || !self.is_owner_usable(now, known) {
+            return Target::Moving;
+        }
+        self.place(now, order, &[choice_of(known, &self.parts.domain, now)], view)
+    }
+
+    /// Returns whether the holder of keys may still be sent work.
+    fn is_owner_usable(&self, now: Moment, known: &KnownUpstream) -> bool {
+        match known.presence {
+            Presence::Leaving(since) => now < since + self.parts.bounds.drain.mul_f64(DRAIN_PART),
+            Presence::Listed | Presence::Missing(_) => known.takes_new_work(now),
+        }
+    }
+
+    /// Chooses among the upstreams of an undivided service.
+    fn choose_upstream(
+        &self,
+        now: Moment,
+        order: &WorkOrder,
+        record: &TryRecord,
+        view: &FrontView,
+    ) -> Target {
+        let Some(ids) = view.by_service.get(&order.service) else {
+            return Target::Refused(Refusal::new(Cause::NoOwner).after(SETTLE_RETRY));
+        };
+        let mut choices = Vec::with_capacity(ids.len());
+        for id in ids {
+            let Some(known) = view.upstreams.get(id) else {
+                continue;
+            };
+            if !known.takes_new_work(now) || record.tried.contains(id) {
+                continue;
+            }
+            choices.push(choice_of(known, &self.parts.domain, now));
+        }
+        self.place(now, order, &choices, view)
+    }
+
+    fn place(
+        &self,
+        now: Moment,
+        order: &WorkOrder,
+        choices: &[Choice],
+        view: &FrontView,
+    ) -> Target {
+        let need = self.need(now, order);
+        let placement = self.parts.place.lock().choose(now, choices, &need);
+        match placement {
+            Placement::Send { id, expected } => match view.upstreams.get(&id) {
+                Some(known) => Target::To(Box::new(known.entry.clone()), expected),
+                None => Target::Refused(Refusal::new(Cause::NoOwner).after(SETTLE_RETRY)),
+            },
+            Placement::Refuse { retry_after } => {
+                Target::Refused(Refusal::new(Cause::Overloaded).after(retry_after))
+            }
+            Placement::Unreachable => {
+                Target::Refused(Refusal::new(Cause::UpstreamUnreachable).after(SETTLE_RETRY))
+            }
+        }
+    }
+
+    /// Returns what to tell the client: a try that may have run outweighs later
+    /// refusals, and a client never waits beyond its own time.
+    fn final_refusal(&self, order: &WorkOrder, record: &TryRecord, refusal: Refusal) -> Refusal {
+        if let Some(doubt) = record.doubt
+            && refusal.verdict() == Verdict::NotRun
+        {
+            return doubt.into();
+        }
+        let left = order.deadline - self.parts.clock.now();
+        let wait = refusal.retry_after.unwrap_or(SETTLE_RETRY);
+        refusal.after(wait.min(left.mul_f64(RETRY_PART)))
+    }
+
+    fn note_outcome(
+        &self,
+        order: &WorkOrder,
+        record: &TryRecord,
+        outcome: &Result<UpstreamAnswer, Refusal>,
+    ) {
+        let now = self.parts.clock.now();
+        let took = now - order.received_at;
+        let (status, verdict, cause) = match outcome {
+            Ok(answer) => (answer.status, Verdict::Ran, "none"),
+            Err(refusal) => (
+                refusal.cause.status(),
+                refusal.verdict(),
+                refusal.cause.as_str(),
+            ),
+        };
+        let rule = order.route.rule();
+        self.parts.metrics.count(verdict, cause, rule.rank, took);
+        let view = self.parts.view.load();
+        let epoch = order.key.and_then(|key| {
+            let range = view.owners.get(&order.service)?.find(key)?;
+            Some(range.epoch)
+        });
+        info!(
+            target: "request",
+            "request={} route={} kind={} rank={} service={} key={} epoch={} upstream={} \
+             sends={} status={status} verdict={verdict} cause={cause} took_ms={} sheet={} \
+             retry_after_ms={}",
+            order.id,
+            rule.name,
+            rule.kind.as_str(),
+            rule.rank,
+            order.service,
+            order.key.map_or(-1, i64::from),
+            epoch.unwrap_or(0),
+            record.tried.last().map_or("none", UpstreamId::as_str),
+            record.sends,
+            took.as_millis(),
+            view.routes.version(),
+            outcome.as_ref().err().and_then(|r| r.retry_after).unwrap_or_default().as_millis(),
+        );
+    }
+}
+
+fn choice_of(known: &KnownUpstream, domain: &DomainName, now: Moment) -> Choice {
+    Choice {
+        id: known.entry.id.clone(),
+        slots: known.entry.slots,
+        is_local: known.entry.domain == *domain,
+        is_cold: now < known.cold_until,
+    }
+}
--- /dev/null
+++ b/crates/front/src/leader.rs
@@ -0,0 +1,541 @@
+//! The leader: holds the lease in the store and grants keys to upstreams.
+
+use crate::adapter::{FrontSettings, UserPlatform};
+use crate::dispatch::Dispatcher;
+use crate::metrics::FrontMetrics;
+use crate::control::GrantCaller;
+use crate::reports::PeerBook;
+use crate::watch::{ViewKeeper, decode_owners};
+use async_channel::{Receiver, Sender, unbounded};
+use async_std::future::timeout;
+use grant::{
+    CallReply, Candidate, GrantLedger, GrantTiming, Holder, LeadRow, LeadTerm, OwnerMap,
+};
+use indexmap::IndexMap;
+use kernel::{Clock, Moment, ServiceName, TaskScope};
+use log::{info, warn};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use store::{RowName, RowStamp, RowStore, RowWrite, TableRow, WriteError};
+
+/// Between two steps of the ledgers when nothing happens.
+const TICK: Duration = Duration::from_millis(100);
+/// Key of the lease's row.
+const LEAD_KEY: &str = "lead";
+/// Hosts that look after the lease often; the second covers the loss of the first.
+const STANDBYS: usize = 2;
+/// How often a standby looks after the lease; keys outlast the lease by 2 s.
+const STANDBY_POLL: Duration = Duration::from_millis(500);
+/// How often other hosts do.
+const OTHER_POLL: Duration = Duration::from_secs(3);
+/// Hosts above which the others look less often, so that all of them together
+/// make no more calls.
+const POLL_HOSTS: u32 = 20;
+/// Looks after a start that come as often as a standby's.
+const FIRST_POLLS: u32 = 4;
+/// For which the upstreams must be unchanged before keys are first dealt out.
+const SETTLE: Duration = Duration::from_millis(800);
+/// Pause after a failed write.
+const WRITE_PAUSE: Duration = Duration::from_millis(120);
+/// Longest time for a call to the store on which the lease depends.
+const STORE_LIMIT: Duration = Duration::from_millis(600);
+/// Range of an upstream's speed against the average that is believed.
+const SPEED_RANGE: (f64, f64) = (0.3, 3.0);
+
+/// A reply to a call, for the ledger of a service.
+type LedgerEvent = (ServiceName, u64, CallReply);
+
+/// What the leader is made of.
+#[derive(Debug)]
+pub(crate) struct LeaderParts {
+    pub platform: Arc<dyn UserPlatform>,
+    pub store: Arc<dyn RowStore>,
+    pub keeper: Arc<ViewKeeper>,
+    pub dispatcher: Dispatcher,
+    pub caller: GrantCaller,
+    pub book: Arc<PeerBook>,
+    pub clock: Arc<dyn Clock>,
+    pub settings: FrontSettings,
+    pub metrics: FrontMetrics,
+    pub scope: TaskScope,
+    pub is_stopping: Arc<AtomicBool>,
+}
+
+/// Looks after the lease, and leads while it holds it.
+#[derive(Debug)]
+pub(crate) struct LeaderLoop {
+    parts: LeaderParts,
+    timing: GrantTiming,
+    run: u64,
+    term: LeadTerm,
+    row: Option<LeadRow>,
+    row_version: u64,
+    ledgers: IndexMap<ServiceName, GrantLedger>,
+    owner_versions: IndexMap<ServiceName, u64>,
+    addresses: IndexMap<Holder, SocketAddr>,
+    events: Receiver<LedgerEvent>,
+    sender: Sender<LedgerEvent>,
+    polls: u32,
+    renew_at: Moment,
+    crowd: (usize, Moment),
+    was_leading: bool,
+}
+
+impl LeaderLoop {
+    pub(crate) fn new(parts: LeaderParts) -> Self {
+        let (sender, events) = unbounded();
+        Self {
+            timing: GrantTiming::with_longest_hold(parts.settings.bounds.longest_hold),
+            // Epochs must not depend on a clock, but a run's name may.
+            run: kernel::wall_clock_ms() << 10 | fastrand::u64(..1 << 10),
+            term: LeadTerm::default(),
+            row: None,
+            row_version: 0,
+            ledgers: IndexMap::new(),
+            owner_versions: IndexMap::new(),
+            addresses: IndexMap::new(),
+            events,
+            sender,
+            polls: 0,
+            renew_at: Moment::ZERO,
+            crowd: (0, Moment::ZERO),
+            was_leading: false,
+            parts,
+        }
+    }
+
+    fn now(&self) -> Moment {
+        self.parts.clock.now()
+    }
+
+    /// Looks after the lease for good.
+    pub(crate) async fn run(mut self) {
+        let mut poll_at = self.now();
+        loop {
+            if self.parts.is_stopping.load(Ordering::SeqCst) {
+                self.resign().await;
+                return;
+            }
+            let now = self.now();
+            let is_leading = self.term.is_valid(now);
+            self.note_change(is_leading);
+            if is_leading {
+                self.lead(now).await;
+                poll_at = self.now();
+                self.wait_for_event(TICK).await;
+                continue;
+            }
+            if now >= poll_at {
+                self.poll().await;
+                poll_at = self.now() + self.poll_pause();
+            }
+            self.wait_for_event((poll_at - self.now()).min(TICK * 2)).await;
+        }
+    }
+
+    fn note_change(&mut self, is_leading: bool) {
+        if is_leading == self.was_leading {
+            return;
+        }
+        self.was_leading = is_leading;
+        self.parts.metrics.is_leader.set(i64::from(is_leading));
+        let term = self.row.as_ref().map_or(0, |row| row.term);
+        info!(target: "lead", "leads={is_leading} term={term} row={}", self.row_version);
+    }
+
+    async fn wait_for_event(&mut self, most: Duration) {
+        if let Ok(Ok(event)) = timeout(most, self.events.recv()).await {
+            self.take_event(event);
+        }
+        while let Ok(event) = self.events.try_recv() {
+            self.take_event(event);
+        }
+    }
+
+    fn take_event(&mut self, (service, id, reply): LedgerEvent) {
+        let now = self.now();
+        if let Some(ledger) = self.ledgers.get_mut(&service) {
+            ledger.note_reply(now, id, reply);
+        }
+    }
+
+    fn poll_pause(&self) -> Duration {
+        let Some(row) = &self.row else {
+            return STANDBY_POLL;
+        };
+        if row.standbys.contains(&self.parts.settings.name) || self.polls < FIRST_POLLS {
+            return STANDBY_POLL;
+        }
+        let crowding = f64::from(row.hosts.max(POLL_HOSTS)) / f64::from(POLL_HOSTS);
+        OTHER_POLL.mul_f64(crowding * (0.8 + 0.4 * fastrand::f64()))
+    }
+
+    /// Reads the lease, and takes it when nobody holds it.
+    async fn poll(&mut self) {
+        self.polls = self.polls.saturating_add(1);
+        if !self.read_row().await {
+            return;
+        }
+        let store_now = self.term.expiry_ms(self.now(), Duration::ZERO).unwrap_or(0);
+        let name = &self.parts.settings.name;
+        let is_own = self.row.as_ref().is_some_and(|row| row.run == self.run);
+        let may_take = self.row.as_ref().is_none_or(|row| {
+            row.may_be_taken(name, self.run, store_now)
+        });
+        if is_own || (may_take && self.parts.keeper.is_complete()) {
+            self.take_lease(is_own).await;
+        }
+    }
+
+    async fn read_row(&mut self) -> bool {
+        let sent_at = self.now();
+        let table = self.parts.platform.tables().lead.clone();
+        let listed = timeout(STORE_LIMIT, self.parts.store.list(&table)).await;
+        let page = match listed {
+            Ok(Ok(page)) => page,
+            Ok(Err(error)) => {
+                self.parts.keeper.note_outage(&error);
+                return false;
+            }
+            Err(_elapsed) => {
+                let error = store::StoreError::Unavailable("no answer in time".to_owned());
+                self.parts.keeper.note_outage(&error);
+                return false;
+            }
+        };
+        self.term.note_reading(sent_at, page.store_now_ms);
+        let found = page.rows.iter().find(|row| row.key == LEAD_KEY);
+        self.row_version = found.map_or(0, |row| row.version);
+        self.row = found.and_then(parse_lead);
+        let leader = self.row.as_ref().and_then(|row| row.address.parse().ok());
+        self.parts.book.set_leader(leader);
+        if let Some(row) = &self.row {
+            self.parts.dispatcher.parts.budgets.set_hosts(row.hosts);
+        }
+        true
+    }
+
+    /// Writes the lease; `is_own` says whether this run had it before.
+    async fn take_lease(&mut self, is_own: bool) {
+        let before = self.row.clone();
+        let was_clean = before.as_ref().is_none_or(|row| row.is_clean);
+        let term = before.as_ref().map_or(1, |row| if is_own { row.term } else { row.term + 1 });
+        if self.write(term, Vec::new()).await.is_err() {
+            return;
+        }
+        if is_own && !self.ledgers.is_empty() {
+            info!(target: "lead", "state=regained term={term}");
+            return;
+        }
+        self.ledgers.clear();
+        let table = self.parts.platform.tables().owners.clone();
+        let listed = timeout(STORE_LIMIT, self.parts.store.list(&table)).await;
+        let Ok(Ok(page)) = listed else {
+            // Without the owners nothing can be granted; the next look tries again.
+            self.term.give_up();
+            return;
+        };
+        let now = self.now();
+        for row in &page.rows {
+            let service = ServiceName::from(row.key.as_str());
+            self.owner_versions.insert(service.clone(), row.version);
+            self.parts.keeper.take_owners(row);
+            let Some(bytes) = &row.value else {
+                continue;
+            };
+            let Some(map) = decode_owners(&service, bytes) else {
+                continue;
+            };
+            let mut ledger = GrantLedger::new(self.timing, term);
+            ledger.adopt(now, map, was_clean);
+            self.ledgers.insert(service, ledger);
+        }
+        info!(
+            target: "lead",
+            "state=taken term={term} clean={was_clean} services={}",
+            self.ledgers.len(),
+        );
+    }
+
+    /// Writes the lease anew, together with rows of owners.
+    async fn write(
+        &mut self,
+        term: u64,
+        owners: Vec<(ServiceName, OwnerMap)>,
+    ) -> Result<(), WriteError> {
+        let sent_at = self.now();
+        let Some(expires_ms) = self.term.expiry_ms(sent_at, self.timing.lease) else {
+            return Err(WriteError::Unknown("the store's time is unknown".to_owned()));
+        };
+        let row = self.lead_row(term, expires_ms, false);
+        let (write, values) = self.row_write(&row, &owners);
+        let outcome = timeout(STORE_LIMIT, self.parts.store.write(&write)).await;
+        let outcome = match outcome {
+            Ok(outcome) => outcome,
+            Err(_elapsed) => Err(WriteError::Unknown("no answer in time".to_owned())),
+        };
+        let outcome = match outcome {
+            Err(WriteError::Unknown(why)) => {
+                warn!(target: "lead", "state=write_unknown term={term} error=\"{why}\"");
+                self.settle_unknown(&row, why).await
+            }
+            other => other,
+        };
+        match outcome {
+            Ok(stamp) => {
+                self.term.note_taken(sent_at, self.timing.lease);
+                if stamp.store_now_ms > 0 {
+                    self.term.note_reading(sent_at, stamp.store_now_ms);
+                }
+                self.row_version = stamp.version;
+                self.parts.book.set_leader(row.address.parse().ok());
+                self.row = Some(row);
+                for (service, value) in values {
+                    self.owner_versions.insert(service.clone(), stamp.version);
+                    self.parts.keeper.take_owners(&TableRow {
+                        key: service.as_str().to_owned(),
+                        value: Some(value),
+                        version: stamp.version,
+                    });
+                }
+                self.set_long(false);
+                Ok(())
+            }
+            Err(error) => {
+                warn!(target: "lead", "state=write_failed term={term} error=\"{error}\"");
+                if error == WriteError::Conflict {
+                    // Somebody else has written: nothing of what is known holds.
+                    self.term.give_up();
+                    self.ledgers.clear();
+                } else {
+                    self.set_long(true);
+                }
+                Err(error)
+            }
+        }
+    }
+
+    /// Reads whether a write without an answer was done.
+    async fn settle_unknown(
+        &mut self,
+        written: &LeadRow,
+        why: String,
+    ) -> Result<RowStamp, WriteError> {
+        let version = self.row_version;
+        self.set_long(true);
+        if !self.read_row().await {
+            return Err(WriteError::Unknown(why));
+        }
+        if self.row.as_ref() == Some(written) {
+            return Ok(RowStamp {
+                version: self.row_version,
+                store_now_ms: 0,
+            });
+        }
+        if self.row_version == version {
+            return Err(WriteError::Unknown(why));
+        }
+        Err(WriteError::Conflict)
+    }
+
+    fn set_long(&mut self, is_long: bool) {
+        let now = self.now();
+        for ledger in self.ledgers.values_mut() {
+            ledger.set_long(now, is_long);
+        }
+    }
+
+    fn lead_row(&self, term: u64, expires_ms: u64, is_clean: bool) -> LeadRow {
+        let settings = &self.parts.settings;
+        let mut others = self.parts.book.hosts();
+        others.retain(|(name, _)| *name != settings.name);
+        let hosts = others.len() as u32 + 1;
+        // A standby in another failure domain outlives the loss of this one.
+        others.sort_by_key(|(name, domain)| (*domain == settings.domain, name.clone()));
+        let standbys = others.into_iter().take(STANDBYS).map(|(name, _)| name);
+        LeadRow {
+            term,
+            host: settings.name.clone(),
+            run: self.run,
+            address: settings.internal.to_string(),
+            expires_ms,
+            is_clean,
+            hosts,
+            standbys: standbys.collect(),
+        }
+    }
+
+    fn row_write(
+        &self,
+        row: &LeadRow,
+        owners: &[(ServiceName, OwnerMap)],
+    ) -> (RowWrite, Vec<(ServiceName, Vec<u8>)>) {
+        let tables = self.parts.platform.tables();
+        let lead = RowName::new(&tables.lead, LEAD_KEY);
+        let mut write = RowWrite {
+            checks: vec![(lead.clone(), self.row_version)],
+            sets: vec![(lead, encode(row))],
+        };
+        let mut values = Vec::new();
+        for (service, map) in owners {
+            let name = RowName::new(&tables.owners, service.as_str());
+            let version = self.owner_versions.get(service).copied().unwrap_or(0);
+            let value = encode(map);
+            write.checks.push((name.clone(), version));
+            write.sets.push((name, value.clone()));
+            values.push((service.clone(), value));
+        }
+        (write, values)
+    }
+
+    /// Steps all ledgers and does what they ask for.
+    async fn lead(&mut self, now: Moment) {
+        let mut commits = Vec::new();
+        let mut calls = Vec::new();
+        for service in self.divided_services() {
+            let candidates = self.candidates(now, &service);
+            if !self.is_settled(now, &service, candidates.len()) {
+                continue;
+            }
+            let loads = self.parts.book.loads(&service);
+            let term = self.row.as_ref().map_or(0, |row| row.term);
+            let ledger = self
+                .ledgers
+                .entry(service.clone())
+                .or_insert_with(|| GrantLedger::new(self.timing, term));
+            let step = ledger.step(now, &candidates, &loads);
+            for call in step.calls {
+                calls.push((service.clone(), call));
+            }
+            if let Some(map) = step.commit {
+                commits.push((service, map));
+            }
+        }
+        for (service, call) in calls {
+            let address = self.addresses.get(&call.holder).copied();
+            let caller = self.parts.caller.clone();
+            let sender = self.sender.clone();
+            let valid_until = self.term.valid_until();
+            let clock = Arc::clone(&self.parts.clock);
+            self.parts.scope.spawn(async move {
+                let is_valid = move || valid_until.is_some_and(|until| clock.now() < until);
+                let id = call.id;
+                let reply = caller.call(address, &call, &is_valid).await;
+                // The loop ends only with the process.
+                let _ended = sender.send((service, id, reply)).await;
+            });
+        }
+        if commits.is_empty() && now < self.renew_at {
+            return;
+        }
+        let term = self.row.as_ref().map_or(1, |row| row.term);
+        let services: Vec<ServiceName> = commits.iter().map(|(name, _)| name.clone()).collect();
+        let written = self.write(term, commits).await;
+        let now = self.now();
+        self.renew_at = match written {
+            Ok(()) => now + self.timing.lease_renew,
+            Err(_) => now + WRITE_PAUSE,
+        };
+        for service in services {
+            if let Some(ledger) = self.ledgers.get_mut(&service) {
+                ledger.note_commit(now, written.is_ok());
+                info!(
+                    target: "placement",
+                    "service={service} ranges={} written={} row={}",
+                    ledger.map().ranges.len(), written.is_ok(), self.row_version,
+                );
+            }
+        }
+    }
+
+    fn divided_services(&self) -> Vec<ServiceName> {
+        let view = self.parts.dispatcher.parts.view.load();
+        let Some(sheet) = &view.sheet else {
+            return Vec::new();
+        };
+        let services = sheet.services.iter();
+        let divided = services.filter(|(_, terms)| terms.is_divided);
+        divided.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Returns whether keys may be dealt out: at once when they have owners, else
+    /// after the upstreams have stopped coming.
+    fn is_settled(&mut self, now: Moment, service: &ServiceName, count: usize) -> bool {
+        if self.ledgers.contains_key(service) {
+            return true;
+        }
+        if self.crowd.0 != count {
+            self.crowd = (count, now);
+        }
+        count > 0 && now - self.crowd.1 >= SETTLE
+    }
+
+    fn candidates(&mut self, now: Moment, service: &ServiceName) -> Vec<Candidate> {
+        let dispatch = &self.parts.dispatcher.parts;
+        let view = dispatch.view.load();
+        let place = dispatch.place.lock();
+        let mut measured = Vec::new();
+        for id in view.by_service.get(service).into_iter().flatten() {
+            let Some(known) = view.upstreams.get(id) else {
+                continue;
+            };
+            let holder = Holder {
+                upstream: id.clone(),
+                run: known.entry.started_at_ms,
+            };
+            self.addresses.insert(holder.clone(), known.entry.address);
+            if known.is_staying() || known.takes_new_work(now) {
+                let service_ms = place.service_ms(id.as_str()).unwrap_or(0.0);
+                measured.push((holder, known.entry.slots, known.is_staying(), service_ms));
+            }
+        }
+        let known = measured.iter().filter(|(.., service_ms)| *service_ms > 0.0);
+        let count = known.clone().count().max(1) as f64;
+        let average = known.map(|(.., service_ms)| service_ms).sum::<f64>() / count;
+        let candidates = measured.into_iter().map(|(holder, slots, takes_keys, service_ms)| {
+            let speed = if service_ms > 0.0 { average / service_ms } else { 1.0 };
+            Candidate {
+                holder,
+                capacity: f64::from(slots.max(1)) * speed.clamp(SPEED_RANGE.0, SPEED_RANGE.1),
+                takes_keys,
+            }
+        });
+        candidates.collect()
+    }
+
+    /// Gives the lease up, so that another host leads at once.
+    async fn resign(&mut self) {
+        let now = self.now();
+        if !self.term.is_valid(now) {
+            return;
+        }
+        let is_clean = self.ledgers.values().all(|ledger| ledger.is_clean(now));
+        let term = self.row.as_ref().map_or(1, |row| row.term);
+        let row = self.lead_row(term, 0, is_clean);
+        self.term.give_up();
+        let (write, _) = self.row_write(&row, &[]);
+        let written = timeout(STORE_LIMIT, self.parts.store.write(&write)).await;
+        info!(
+            target: "lead",
+            "state=resigned term={term} clean={is_clean} written={}",
+            matches!(written, Ok(Ok(_))),
+        );
+    }
+}
+
+fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).expect("rows of the program's own types can be encoded")
+}
+
+fn parse_lead(row: &TableRow) -> Option<LeadRow> {
+    let bytes = row.value.as_ref()?;
+    match serde_json::from_slice(bytes) {
+        Ok(row) => Some(row),
+        Err(error) => {
+            warn!(target: "lead", "row={} ignored: {error}", row.version);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/ready.rs
@@ -0,0 +1,59 @@
+//! Small HTTP pages: whether the host is ready, and its metrics.
+
+use async_std::future::timeout;
+use async_std::net::{TcpListener, TcpStream};
+use h1::{Connection, HeadLimits, HeaderList, encode_response_head};
+use kernel::TaskScope;
+use log::warn;
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// For which a connection without a request is kept.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers a request for a path with a status and a text.
+pub(crate) trait PageSource: Send + Sync + fmt::Debug {
+    /// Returns the page.
+    fn page(&self, path: &str) -> (u16, String);
+}
+
+/// Serves pages until the scope is closed.
+pub(crate) async fn serve_pages(
+    listener: TcpListener,
+    source: Arc<dyn PageSource>,
+    scope: TaskScope,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _peer)) => {
+                let source = Arc::clone(&source);
+                scope.spawn(async move { serve_connection(stream, &*source).await });
+            }
+            Err(error) => {
+                warn!(target: "pages", "accept failed: {error}");
+                async_std::task::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, source: &dyn PageSource) {
+    let mut connection = Connection::new(stream);
+    let limits = HeadLimits::default();
+    loop {
+        let reading = connection.read_request(&limits);
+        let Ok(Ok(Some(head))) = timeout(IDLE_LIMIT, reading).await else {
+            return;
+        };
+        let (status, text) = source.page(&head.target);
+        let mut headers = HeaderList::new();
+        headers.push("content-length", text.len().to_string());
+        let mut bytes = encode_response_head(status, &headers);
+        bytes.extend_from_slice(text.as_bytes());
+        if connection.write(&bytes).await.is_err() || !head.keeps_alive {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/run.rs
@@ -0,0 +1,268 @@
+//! Start and stop of an entry host.
+
+use crate::adapter::{FrontSettings, LoadedPlatform};
+use crate::budgets::RetryBudgets;
+use crate::clients::ClientServer;
+use crate::control::GrantCaller;
+use crate::dispatch::{DispatchParts, Dispatcher};
+use crate::exchange::Exchanger;
+use crate::leader::{LeaderLoop, LeaderParts};
+use crate::metrics::FrontMetrics;
+use crate::pool::ConnectionPool;
+use crate::ready::{PageSource, serve_pages};
+use crate::reports::{PeerBook, ReportLink};
+use crate::view::ViewCell;
+use crate::watch::{ViewKeeper, WatchedTable, follow};
+use async_std::net::{TcpListener, UdpSocket};
+use fleet::FleetTiming;
+use grant::GrantTiming;
+use indexmap::IndexMap;
+use kernel::{BootClock, Clock, TaskScope};
+use log::info;
+use parking_lot::Mutex;
+use place::PlaceBook;
+use retry::QuarantineBook;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// For which a stopping host still takes new work; the balancer asks every second
+/// and takes a host out after two misses.
+const TURN_AWAY: Duration = Duration::from_millis(2_800);
+/// Part of the time until the kill within which a stop ends.
+const STOP_PART: f64 = 0.9;
+const STOP_POLL: Duration = Duration::from_millis(20);
+/// For the last answers to leave the machine.
+const LINGER: Duration = Duration::from_millis(60);
+/// How often lapsed upstreams and connections are dropped.
+const SWEEP_PERIOD: Duration = Duration::from_millis(200);
+/// For which a request that ended upstreams is suspected.
+const SUSPECT_HOLD: Duration = Duration::from_mins(2);
+/// Largest part of the drain bound for which a missing upstream stays in use.
+const MISSING_PART: f64 = 0.5;
+
+/// A host that could not start.
+#[derive(Debug)]
+pub enum StartFailure {
+    /// An address can't be listened on.
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        error: io::Error,
+    },
+    /// A metric could not be registered.
+    Metrics(prometheus::Error),
+}
+
+impl fmt::Display for StartFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen { address, error } => write!(f, "can't listen on {address}: {error}"),
+            Self::Metrics(error) => write!(f, "metrics: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for StartFailure {}
+
+/// A running entry host.
+#[derive(Clone, Debug)]
+pub struct FrontHost {
+    clients: ClientServer,
+    settings: FrontSettings,
+    is_stopping: Arc<AtomicBool>,
+    scope: TaskScope,
+}
+
+#[derive(Debug)]
+struct ReadyPage {
+    keeper: Arc<ViewKeeper>,
+    is_stopping: Arc<AtomicBool>,
+}
+
+impl PageSource for ReadyPage {
+    fn page(&self, _path: &str) -> (u16, String) {
+        let is_ready = self.keeper.is_complete() && !self.is_stopping.load(Ordering::SeqCst);
+        (if is_ready { 200 } else { 503 }, String::new())
+    }
+}
+
+#[derive(Debug)]
+struct MetricsPage {
+    metrics: FrontMetrics,
+}
+
+impl PageSource for MetricsPage {
+    fn page(&self, path: &str) -> (u16, String) {
+        if path != "/metrics" {
+            return (404, String::new());
+        }
+        (200, self.metrics.text())
+    }
+}
+
+impl FrontHost {
+    /// Starts a host; it serves until it is stopped.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be listened on.
+    pub async fn start(loaded: LoadedPlatform) -> Result<Self, StartFailure> {
+        let LoadedPlatform { settings, platform } = loaded;
+        let clients_listener = listen(settings.clients).await?;
+        let ready_listener = listen(settings.ready).await?;
+        let metrics_listener = listen(settings.internal).await?;
+        let socket = UdpSocket::bind(settings.internal)
+            .await
+            .map_err(|error| StartFailure::Listen {
+                address: settings.internal,
+                error,
+            })?;
+        let clock: Arc<dyn Clock> = Arc::new(BootClock);
+        let metrics = FrontMetrics::register().map_err(StartFailure::Metrics)?;
+        let scope = TaskScope::new();
+        let is_stopping = Arc::new(AtomicBool::new(false));
+        let view = Arc::new(ViewCell::default());
+        let preset = FleetTiming::default();
+        let timing = FleetTiming {
+            missing: preset.missing.min(settings.bounds.drain.mul_f64(MISSING_PART)),
+            ..preset
+        };
+        let keeper = Arc::new(ViewKeeper::new(
+            Arc::clone(&platform),
+            Arc::clone(&clock),
+            Arc::clone(&view),
+            metrics.clone(),
+            timing,
+        ));
+        let dispatcher = Dispatcher {
+            parts: Arc::new(DispatchParts {
+                view,
+                place: Mutex::new(PlaceBook::new(fastrand::u64(..))),
+                exchanger: Exchanger {
+                    pool: ConnectionPool::default(),
+                    clock: Arc::clone(&clock),
+                    names: *platform.headers(),
+                },
+                budgets: RetryBudgets::new(settings.bounds),
+                quarantine: Mutex::new(QuarantineBook::new(SUSPECT_HOLD)),
+                key_loads: Mutex::new(IndexMap::new()),
+                clock: Arc::clone(&clock),
+                domain: settings.domain.clone(),
+                bounds: settings.bounds,
+                metrics: metrics.clone(),
+            }),
+        };
+        let clients = ClientServer::new(dispatcher.clone());
+        scope.spawn(clients.clone().accept(clients_listener, scope.clone()));
+        let ready = Arc::new(ReadyPage {
+            keeper: Arc::clone(&keeper),
+            is_stopping: Arc::clone(&is_stopping),
+        });
+        scope.spawn(serve_pages(ready_listener, ready, scope.clone()));
+        let page = Arc::new(MetricsPage {
+            metrics: metrics.clone(),
+        });
+        scope.spawn(serve_pages(metrics_listener, page, scope.clone()));
+        let store = platform.store();
+        let tables = platform.tables().clone();
+        for (table, name) in [
+            (WatchedTable::Sheet, tables.sheet),
+            (WatchedTable::Entries, tables.entries),
+            (WatchedTable::Owners, tables.owners),
+        ] {
+            scope.spawn(follow(Arc::clone(&keeper), Arc::clone(&store), table, name));
+        }
+        let book = Arc::new(PeerBook::new(Arc::clone(&clock)));
+        let link = ReportLink {
+            socket: Arc::new(socket),
+            book: Arc::clone(&book),
+            dispatcher: dispatcher.clone(),
+            host: settings.name.clone(),
+        };
+        scope.spawn(link.clone().send_reports());
+        scope.spawn(link.receive());
+        scope.spawn(sweep(Arc::clone(&keeper), dispatcher.clone()));
+        let leader = LeaderLoop::new(LeaderParts {
+            caller: GrantCaller {
+                platform: Arc::clone(&platform),
+                clock: Arc::clone(&clock),
+                pool: Arc::new(ConnectionPool::default()),
+                timing: GrantTiming::with_longest_hold(settings.bounds.longest_hold),
+            },
+            platform,
+            store,
+            keeper,
+            dispatcher,
+            book,
+            clock,
+            settings: settings.clone(),
+            metrics,
+            scope: scope.clone(),
+            is_stopping: Arc::clone(&is_stopping),
+        });
+        scope.spawn(leader.run());
+        info!(
+            target: "host",
+            "host={} state=started domain={} clients={} ready={} internal={}",
+            settings.name, settings.domain, settings.clients, settings.ready, settings.internal,
+        );
+        Ok(Self {
+            clients,
+            settings,
+            is_stopping,
+            scope,
+        })
+    }
+
+    /// Stops the host without cutting a request.
+    ///
+    /// It says at once that it is not ready, goes on serving until the balancer has
+    /// noticed, and returns when the requests in hand have been answered.
+    pub async fn stop(&self) {
+        info!(target: "host", "host={} state=stopping", self.settings.name);
+        self.is_stopping.store(true, Ordering::SeqCst);
+        self.clients.stop();
+        let limit = self.settings.bounds.stop.mul_f64(STOP_PART);
+        let turn_away = TURN_AWAY.min(limit / 2);
+        async_std::task::sleep(turn_away).await;
+        self.clients.close();
+        let mut waited = turn_away;
+        while self.clients.in_flight() > 0 && waited < limit {
+            async_std::task::sleep(STOP_POLL).await;
+            waited += STOP_POLL;
+        }
+        async_std::task::sleep(LINGER).await;
+        self.scope.close();
+        info!(
+            target: "host",
+            "host={} state=stopped in_flight={}",
+            self.settings.name, self.clients.in_flight(),
+        );
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, StartFailure> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| StartFailure::Listen { address, error })
+}
+
+/// Drops what has lapsed, for good.
+async fn sweep(keeper: Arc<ViewKeeper>, dispatcher: Dispatcher) {
+    loop {
+        async_std::task::sleep(SWEEP_PERIOD).await;
+        let parts = &dispatcher.parts;
+        let now = parts.clock.now();
+        let has_dropped = keeper.expire(now);
+        let view = parts.view.load();
+        parts.exchanger.pool.prune(now, |id| view.upstreams.contains_key(id));
+        if has_dropped {
+            parts.place.lock().retain(|id| view.upstreams.contains_key(id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/view.rs
@@ -0,0 +1,36 @@
+//! What traffic reads: an immutable picture of sheet, upstreams and owners.
+
+use arc_swap::ArcSwap;
+use fleet::KnownUpstream;
+use grant::OwnerMap;
+use indexmap::IndexMap;
+use kernel::{ServiceName, UpstreamId};
+use route::PrefixTable;
+use sheet::{ClientLimits, RouteSheet};
+use std::sync::Arc;
+
+/// Sheet, upstreams and owners of one moment.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FrontView {
+    pub routes: Arc<PrefixTable>,
+    pub sheet: Option<Arc<RouteSheet>>,
+    pub upstreams: Arc<IndexMap<UpstreamId, KnownUpstream>>,
+    pub by_service: Arc<IndexMap<ServiceName, Vec<UpstreamId>>>,
+    pub owners: Arc<IndexMap<ServiceName, OwnerMap>>,
+}
+
+impl FrontView {
+    pub(crate) fn limits(&self) -> ClientLimits {
+        self.sheet.as_ref().map_or_else(ClientLimits::default, |sheet| sheet.limits)
+    }
+
+    pub(crate) fn is_divided(&self, service: &ServiceName) -> bool {
+        let sheet = self.sheet.as_ref();
+        sheet
+            .and_then(|sheet| sheet.services.get(service))
+            .is_some_and(|terms| terms.is_divided)
+    }
+}
+
+/// The present view, read without a lock.
+pub(crate) type ViewCell = ArcSwap<FrontView>;
--- /dev/null
+++ b/crates/front/src/watch.rs
@@ -0,0 +1,310 @@
+//! Keeps sheet, upstreams and owners as the store has them.
+
+use crate::adapter::UserPlatform;
+use crate::metrics::FrontMetrics;
+use crate::view::{FrontView, ViewCell};
+use fleet::{FleetTiming, FleetView, KnownUpstream};
+use grant::OwnerMap;
+use indexmap::IndexMap;
+use kernel::{Clock, Moment, ServiceName, UpstreamId};
+use log::{info, warn};
+use parking_lot::Mutex;
+use route::PrefixTable;
+use sheet::RouteSheet;
+use std::sync::Arc;
+use std::time::Duration;
+use store::{FeedReply, RowPage, RowStore, StoreError, TableRow};
+
+/// For which the store holds a feed open without changes; its longest is 30 s.
+const FEED_WAIT: Duration = Duration::from_secs(25);
+/// Shortest pause after a failed call; doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause after failed calls, so that a store that is back is noticed well
+/// within the time in which a sheet has to be in force.
+const LONGEST_PAUSE: Duration = Duration::from_millis(700);
+/// For which changes are gathered before the next call of a busy feed.
+const GATHER: Duration = Duration::from_millis(40);
+
+/// A table that is watched.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WatchedTable {
+    /// The operators' sheet.
+    Sheet,
+    /// The upstreams' entries.
+    Entries,
+    /// The owners of keys.
+    Owners,
+}
+
+/// What the store said last, and the view that follows from it.
+#[derive(Debug)]
+pub(crate) struct ViewKeeper {
+    platform: Arc<dyn UserPlatform>,
+    clock: Arc<dyn Clock>,
+    cell: Arc<ViewCell>,
+    metrics: FrontMetrics,
+    state: Mutex<KeeperState>,
+}
+
+#[derive(Debug)]
+struct KeeperState {
+    fleet: FleetView,
+    owner_versions: IndexMap<ServiceName, u64>,
+    has_entries: bool,
+}
+
+impl ViewKeeper {
+    pub(crate) fn new(
+        platform: Arc<dyn UserPlatform>,
+        clock: Arc<dyn Clock>,
+        cell: Arc<ViewCell>,
+        metrics: FrontMetrics,
+        timing: FleetTiming,
+    ) -> Self {
+        Self {
+            platform,
+            clock,
+            cell,
+            metrics,
+            state: Mutex::new(KeeperState {
+                fleet: FleetView::new(timing),
+                owner_versions: IndexMap::new(),
+                has_entries: false,
+            }),
+        }
+    }
+
+    /// Returns whether a sheet and the upstreams are known.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.cell.load().sheet.is_some() && self.state.lock().has_entries
+    }
+
+    /// Takes in all rows of a table.
+    pub(crate) fn take_all(&self, table: WatchedTable, page: &RowPage) {
+        if table != WatchedTable::Entries {
+            self.take_changes(table, &page.rows);
+            return;
+        }
+        let now = self.clock.now();
+        let mut entries = Vec::with_capacity(page.rows.len());
+        for row in &page.rows {
+            let id = UpstreamId::from(row.key.as_str());
+            let Some(bytes) = &row.value else {
+                continue;
+            };
+            match self.platform.decode_entry(&id, bytes) {
+                Ok(entry) => entries.push(entry),
+                Err(error) => warn!(target: "fleet", "upstream={id} entry ignored: {error}"),
+            }
+        }
+        let mut state = self.state.lock();
+        state.fleet.replace(now, entries);
+        state.has_entries = true;
+        self.publish_fleet(&state.fleet);
+    }
+
+    /// Takes in rows of a table that changed.
+    pub(crate) fn take_changes(&self, table: WatchedTable, rows: &[TableRow]) {
+        match table {
+            WatchedTable::Sheet => self.take_sheet(rows),
+            WatchedTable::Entries => self.take_entries(rows),
+            WatchedTable::Owners => {
+                for row in rows {
+                    self.take_owners(row);
+                }
+            }
+        }
+    }
+
+    fn take_sheet(&self, rows: &[TableRow]) {
+        let key = &self.platform.tables().sheet_key;
+        for row in rows {
+            if row.key != *key {
+                continue;
+            }
+            let Some(bytes) = &row.value else {
+                warn!(target: "sheet", "the sheet was removed; the last one stays in force");
+                continue;
+            };
+            match self.platform.decode_sheet(bytes) {
+                Ok(sheet) => self.publish_sheet(sheet),
+                Err(error) => warn!(target: "sheet", "sheet ignored: {error}"),
+            }
+        }
+    }
+
+    fn publish_sheet(&self, sheet: RouteSheet) {
+        let view = self.cell.load();
+        let known = view.routes.version();
+        if sheet.version <= known && view.sheet.is_some() {
+            return;
+        }
+        info!(
+            target: "sheet",
+            "version={} earlier={known} hosts={} services={}",
+            sheet.version, sheet.hosts.len(), sheet.services.len(),
+        );
+        self.metrics.sheet_version.set(sheet.version as i64);
+        let routes = Arc::new(PrefixTable::compile(&sheet, &view.routes));
+        self.cell.store(Arc::new(FrontView {
+            routes,
+            sheet: Some(Arc::new(sheet)),
+            ..FrontView::clone(&view)
+        }));
+    }
+
+    fn take_entries(&self, rows: &[TableRow]) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        for row in rows {
+            let id = UpstreamId::from(row.key.as_str());
+            let decoded = row.value.as_ref().map(|bytes| self.platform.decode_entry(&id, bytes));
+            match decoded {
+                Some(Ok(entry)) => {
+                    let line = format!(
+                        "upstream={id} service={} address={} state={:?} run={} row={}",
+                        entry.service, entry.address, entry.state, entry.started_at_ms,
+                        row.version,
+                    );
+                    if state.fleet.apply(now, entry) {
+                        info!(target: "fleet", "{line}");
+                    }
+                }
+                Some(Err(error)) => {
+                    warn!(target: "fleet", "upstream={id} entry ignored: {error}");
+                    state.fleet.note_missing(now, id.as_str());
+                }
+                None => {
+                    info!(target: "fleet", "upstream={id} state=missing row={}", row.version);
+                    state.fleet.note_missing(now, id.as_str());
+                }
+            }
+        }
+        self.publish_fleet(&state.fleet);
+    }
+
+    /// Takes in a row of owners, unless a newer one is known.
+    pub(crate) fn take_owners(&self, row: &TableRow) {
+        let service = ServiceName::from(row.key.as_str());
+        let Some(map) = row.value.as_ref().and_then(|bytes| decode_owners(&service, bytes)) else {
+            return;
+        };
+        let mut state = self.state.lock();
+        let known = state.owner_versions.entry(service.clone()).or_insert(0);
+        if row.version <= *known {
+            return;
+        }
+        *known = row.version;
+        let view = self.cell.load();
+        let mut owners = IndexMap::clone(&view.owners);
+        owners.insert(service, map);
+        self.cell.store(Arc::new(FrontView {
+            owners: Arc::new(owners),
+            ..FrontView::clone(&view)
+        }));
+    }
+
+    /// Notes that the store failed to answer.
+    pub(crate) fn note_outage(&self, error: &StoreError) {
+        self.metrics.store_failures.inc();
+        // A rate limit says nothing about entries.
+        if *error != StoreError::RateLimited {
+            self.state.lock().fleet.note_outage(self.clock.now());
+        }
+    }
+
+    /// Drops upstreams that have been missing for too long; returns the known ones
+    /// when any was dropped.
+    pub(crate) fn expire(&self, now: Moment) -> bool {
+        let mut state = self.state.lock();
+        let gone = state.fleet.expire(now);
+        for id in &gone {
+            info!(target: "fleet", "upstream={id} state=gone");
+        }
+        if !gone.is_empty() {
+            self.publish_fleet(&state.fleet);
+        }
+        !gone.is_empty()
+    }
+
+    fn publish_fleet(&self, fleet: &FleetView) {
+        let mut upstreams: IndexMap<UpstreamId, KnownUpstream> = IndexMap::new();
+        let mut by_service: IndexMap<ServiceName, Vec<UpstreamId>> = IndexMap::new();
+        for known in fleet.iter() {
+            let id = known.entry.id.clone();
+            by_service.entry(known.entry.service.clone()).or_default().push(id.clone());
+            upstreams.insert(id, known.clone());
+        }
+        let view = self.cell.load();
+        self.cell.store(Arc::new(FrontView {
+            upstreams: Arc::new(upstreams),
+            by_service: Arc::new(by_service),
+            ..FrontView::clone(&view)
+        }));
+    }
+}
+
+/// Decodes a row of owners; a row that can't be read or has gaps is ignored.
+pub(crate) fn decode_owners(service: &ServiceName, bytes: &[u8]) -> Option<OwnerMap> {
+    match serde_json::from_slice::<OwnerMap>(bytes) {
+        Ok(map) if map.is_whole() => Some(map),
+        Ok(_gaps) => {
+            warn!(target: "owners", "service={service} row ignored: ranges have gaps");
+            None
+        }
+        Err(error) => {
+            warn!(target: "owners", "service={service} row ignored: {error}");
+            None
+        }
+    }
+}
+
+/// Follows a table for good.
+pub(crate) async fn follow(
+    keeper: Arc<ViewKeeper>,
+    store: Arc<dyn RowStore>,
+    table: WatchedTable,
+    name: String,
+) {
+    let mut pause = FIRST_PAUSE;
+    let mut after = None;
+    let mut is_lost = false;
+    loop {
+        let outcome = match after {
+            None => store.list(&name).await.map(|page| {
+                keeper.take_all(table, &page);
+                Some(page.version)
+            }),
+            Some(version) => store.feed(&name, version, FEED_WAIT).await.map(|reply| {
+                let FeedReply::Changes(page) = reply else {
+                    warn!(target: "store", "table={name} state=history_gone after={version}");
+                    return None;
+                };
+                if !page.rows.is_empty() {
+                    keeper.take_changes(table, &page.rows);
+                }
+                Some(page.version.max(version))
+            }),
+        };
+        match outcome {
+            Ok(next) => {
+                if is_lost {
+                    info!(target: "store", "table={name} state=regained");
+                }
+                is_lost = false;
+                after = next;
+                pause = FIRST_PAUSE;
+                async_std::task::sleep(GATHER).await;
+            }
+            Err(error) => {
+                keeper.note_outage(&error);
+                if !is_lost {
+                    warn!(target: "store", "table={name} state=lost error=\"{error}\"");
+                }
+                is_lost = true;
+                async_std::task::sleep(pause.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/grant/src/lead.rs
@@ -0,0 +1,82 @@
+//! The leader's lease.
+
+use kernel::Moment;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// The row that says who leads; times are the store's own.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeadRow {
+    /// Counts the leaders; each has a greater one.
+    pub term: u64,
+    /// Name of the leading host.
+    pub host: String,
+    /// Which run of its process leads.
+    pub run: u64,
+    /// Where it takes load reports, as `ip:port`.
+    pub address: String,
+    /// Until when the lease holds, on the store's clock, in milliseconds.
+    pub expires_ms: u64,
+    /// Whether the leader gave up its lease with every grant answered.
+    pub is_clean: bool,
+    /// Hosts that the leader has heard from lately.
+    pub hosts: u32,
+    /// Names of the hosts that look after the lease most often.
+    #[serde(default)]
+    pub standbys: Vec<String>,
+}
+
+impl LeadRow {
+    /// Returns whether host `host` in its run `run` may take the lease at
+    /// `store_now_ms`.
+    ///
+    /// An earlier run of the same host has ended, so its lease is void.
+    pub fn may_be_taken(&self, host: &str, run: u64, store_now_ms: u64) -> bool {
+        self.expires_ms <= store_now_ms || (self.host == host && self.run != run)
+    }
+}
+
+/// A reading of the store's clock, and the leader's own deadline.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LeadTerm {
+    reading: Option<(Moment, u64)>,
+    valid_until: Option<Moment>,
+}
+
+impl LeadTerm {
+    /// Notes that a call sent at `sent_at` returned the store's time.
+    pub fn note_reading(&mut self, sent_at: Moment, store_now_ms: u64) {
+        self.reading = Some((sent_at, store_now_ms));
+    }
+
+    /// Returns the expiry to write for a lease of `span` that is asked for at
+    /// `sent_at`.
+    ///
+    /// The reading was taken after its call was sent, so at `sent_at + span` on
+    /// this host's clock the store's clock has not passed the value returned.
+    pub fn expiry_ms(&self, sent_at: Moment, span: Duration) -> Option<u64> {
+        let (read_at, store_ms) = self.reading?;
+        Some(store_ms + (sent_at - read_at).as_millis() as u64 + span.as_millis() as u64)
+    }
+
+    /// Notes that the store took the lease that was asked for at `sent_at`.
+    pub fn note_taken(&mut self, sent_at: Moment, span: Duration) {
+        // One part in 50 less, as the two clocks need not run alike.
+        self.valid_until = Some(sent_at + span * 49 / 50);
+    }
+
+    /// Gives the lease up.
+    pub fn give_up(&mut self) {
+        self.valid_until = None;
+    }
+
+    /// Returns whether this host leads.
+    pub fn is_valid(&self, now: Moment) -> bool {
+        self.valid_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns until when this host leads.
+    pub fn valid_until(&self) -> Option<Moment> {
+        self.valid_until
+    }
+}
--- /dev/null
+++ b/crates/grant/src/ledger.rs
@@ -0,0 +1,538 @@
+//! The leader's state machine: what to write, grant and release.
+
+use crate::balance::{Candidate, assign_orphans, move_for_balance};
+use crate::{GrantTiming, Holder, KeyLoads, OwnedRange, OwnerMap};
+use indexmap::IndexMap;
+use kernel::Moment;
+use std::time::Duration;
+
+/// Bits of an epoch that count within one term.
+const EPOCH_BITS: u32 = 24;
+/// Failed connections in a row after which an upstream is taken as silent.
+const SILENT_AFTER: u32 = 2;
+/// Between two tries of a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Between two tries to reach a silent upstream again.
+const PROBE_PAUSE: Duration = Duration::from_secs(2);
+
+/// What a call to an upstream asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallKind {
+    /// Hold the keys for so long, with what their last holder handed over.
+    Grant {
+        /// Lease time, from the arrival of the call.
+        hold: Duration,
+        /// Token of the last holder's release.
+        handover: Option<String>,
+    },
+    /// Stop work on the keys; answered when running work has ended.
+    Release,
+    /// Open a connection, to see whether the upstream can be reached again.
+    Probe,
+}
+
+/// A call to an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GrantCall {
+    /// Matches the reply to the call.
+    pub id: u64,
+    /// The run of the upstream that is meant.
+    pub holder: Holder,
+    /// First key.
+    pub first: u16,
+    /// Last key.
+    pub last: u16,
+    /// Fencing token.
+    pub epoch: u64,
+    /// What is asked for.
+    pub kind: CallKind,
+}
+
+/// What became of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallReply {
+    /// The upstream holds the keys.
+    Granted,
+    /// The upstream has seen a greater epoch.
+    Superseded,
+    /// The upstream holds the keys no more and has no work on them.
+    Released(Option<String>),
+    /// The upstream's process has ended: its address belongs to another.
+    Ended,
+    /// No connection could be made; nothing was sent. A refused connection is no
+    /// proof that the process has ended, as some partitions refuse too.
+    Unreachable,
+    /// A connection could be opened.
+    Reached,
+    /// The call was sent and not answered.
+    Unanswered,
+    /// The upstream refused the call for another reason.
+    Rejected,
+}
+
+/// What follows from one step.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LedgerStep {
+    /// The row to write; [`GrantLedger::note_commit`] tells what became of it.
+    pub commit: Option<OwnerMap>,
+    /// Calls to make; [`GrantLedger::note_reply`] tells what became of each.
+    pub calls: Vec<GrantCall>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum RangePhase {
+    /// The last holder has to let go of the keys.
+    Freeing,
+    /// The owner has to be granted the keys.
+    Granting(Option<String>),
+    /// The owner holds the keys and is to be renewed.
+    Holding,
+}
+
+#[derive(Clone, Debug)]
+struct RangeWork {
+    phase: RangePhase,
+    due: Moment,
+    call: Option<u64>,
+}
+
+/// A call without a reply.
+#[derive(Clone, Debug)]
+struct OpenCall {
+    call: GrantCall,
+    sent_at: Moment,
+    /// The holder's bound before the call, in force if nothing is sent.
+    held_before: Moment,
+    /// The holder's bound that the call set.
+    bound: Moment,
+}
+
+/// What is known of one run of an upstream.
+#[derive(Clone, Copy, Debug, Default)]
+struct HolderState {
+    /// Until when some grant sent to it may be in force.
+    held_until: Moment,
+    /// Until when a grant without an answer may take effect.
+    unanswered_until: Moment,
+    has_ended: bool,
+    failures: u32,
+    probe_at: Moment,
+}
+
+/// The leader's state machine for the keys of one service.
+#[derive(Debug)]
+pub struct GrantLedger {
+    timing: GrantTiming,
+    map: OwnerMap,
+    work: IndexMap<(u16, u16, u64), RangeWork>,
+    holders: IndexMap<Holder, HolderState>,
+    calls: IndexMap<u64, OpenCall>,
+    pending: Option<OwnerMap>,
+    epoch: u64,
+    next_call: u64,
+    is_long: bool,
+    balanced_at: Moment,
+}
+
+impl GrantLedger {
+    /// Builds the ledger of a leader's term.
+    pub fn new(timing: GrantTiming, term: u64) -> Self {
+        Self {
+            timing,
+            map: OwnerMap::default(),
+            work: IndexMap::new(),
+            holders: IndexMap::new(),
+            calls: IndexMap::new(),
+            pending: None,
+            epoch: term << EPOCH_BITS,
+            next_call: 1,
+            is_long: false,
+            balanced_at: Moment::ZERO,
+        }
+    }
+
+    /// Starts from the row that stands in the store.
+    ///
+    /// Unless the leader before ended cleanly, grants of it may be under way.
+    pub fn adopt(&mut self, now: Moment, map: OwnerMap, is_clean: bool) {
+        self.epoch = self.epoch.max(map.greatest_epoch());
+        let held_until = now + GrantTiming::bound(self.timing.long_hold);
+        let unanswered_until = if is_clean {
+            now
+        } else {
+            now + GrantTiming::bound(self.timing.hold)
+        };
+        for range in &map.ranges {
+            let earlier = range.earlier.as_ref().map(|(holder, _)| holder);
+            for holder in range.owner.iter().chain(earlier) {
+                let state = self.holders.entry(holder.clone()).or_default();
+                state.held_until = held_until;
+                state.unanswered_until = unanswered_until;
+            }
+        }
+        self.pending = None;
+        self.calls.clear();
+        self.set_map(now, map);
+    }
+
+    /// Returns the row as it was last committed.
+    pub const fn map(&self) -> &OwnerMap {
+        &self.map
+    }
+
+    /// Returns whether every grant and release has been answered.
+    pub fn is_clean(&self, now: Moment) -> bool {
+        let is_answered = |state: &HolderState| state.unanswered_until <= now;
+        self.calls.is_empty() && self.holders.values().all(is_answered)
+    }
+
+    /// Grants for the longest time from now on, or for the usual one.
+    pub fn set_long(&mut self, now: Moment, is_long: bool) {
+        if is_long && !self.is_long {
+            for work in self.work.values_mut() {
+                if work.phase == RangePhase::Holding {
+                    work.due = now;
+                }
+            }
+        }
+        self.is_long = is_long;
+    }
+
+    /// Notes that a run of an upstream has ended.
+    pub fn note_ended(&mut self, holder: &Holder) {
+        self.holders.entry(holder.clone()).or_default().has_ended = true;
+    }
+
+    /// Returns what to write and which calls to make now.
+    pub fn step(&mut self, now: Moment, candidates: &[Candidate], loads: &KeyLoads) -> LedgerStep {
+        let usable = self.usable(candidates);
+        for candidate in candidates {
+            self.note_present_run(&candidate.holder);
+        }
+        let mut step = LedgerStep {
+            commit: self.plan(now, &usable, loads),
+            calls: Vec::new(),
+        };
+        for index in 0..self.work.len() {
+            if let Some(call) = self.next_call_for(now, index) {
+                step.calls.push(call);
+            }
+        }
+        for candidate in candidates {
+            if let Some(call) = self.probe(now, &candidate.holder) {
+                step.calls.push(call);
+            }
+        }
+        step
+    }
+
+    /// Tells what became of the row that a step returned.
+    pub fn note_commit(&mut self, now: Moment, is_written: bool) {
+        let Some(map) = self.pending.take() else {
+            return;
+        };
+        if is_written {
+            self.set_map(now, map);
+        }
+    }
+
+    /// Tells what became of a call.
+    pub fn note_reply(&mut self, now: Moment, id: u64, reply: CallReply) {
+        let Some(open) = self.calls.shift_remove(&id) else {
+            return;
+        };
+        let (call, sent_at) = (open.call, open.sent_at);
+        let state = self.holders.entry(call.holder.clone()).or_default();
+        match reply {
+            CallReply::Ended => state.has_ended = true,
+            CallReply::Unreachable => {
+                state.failures += 1;
+                state.probe_at = now + PROBE_PAUSE;
+                if state.held_until == open.bound {
+                    state.held_until = open.held_before;
+                }
+            }
+            CallReply::Unanswered => {
+                if let CallKind::Grant { hold, .. } = &call.kind {
+                    let until = sent_at + GrantTiming::bound(*hold);
+                    state.unanswered_until = state.unanswered_until.max(until);
+                }
+            }
+            _ => state.failures = 0,
+        }
+        let key = (call.first, call.last, call.epoch);
+        if call.kind == CallKind::Probe {
+            return;
+        }
+        let release_of = |range: &OwnedRange| {
+            range.first == call.first
+                && range.last == call.last
+                && range.earlier == Some((call.holder.clone(), call.epoch))
+        };
+        let (work, is_release) = if call.kind == CallKind::Release {
+            let range = self.map.ranges.iter().find(|range| release_of(range));
+            let key = range.map(|range| (range.first, range.last, range.epoch));
+            (key.and_then(|key| self.work.get_mut(&key)), true)
+        } else {
+            (self.work.get_mut(&key), false)
+        };
+        let Some(work) = work.filter(|work| work.call == Some(id)) else {
+            return;
+        };
+        work.call = None;
+        work.due = now + RETRY_PAUSE;
+        match reply {
+            CallReply::Released(token) if is_release => {
+                work.phase = RangePhase::Granting(token);
+                work.due = now.max(state.unanswered_until);
+            }
+            CallReply::Granted if !is_release => {
+                work.phase = RangePhase::Holding;
+                work.due = sent_at + self.timing.renew;
+            }
+            CallReply::Superseded if !is_release => self.lose_range(&key),
+            CallReply::Ended | CallReply::Unanswered => work.due = now,
+            _ => {}
+        }
+    }
+
+    /// A greater epoch was granted by somebody else, so the range needs a new one.
+    fn lose_range(&mut self, key: &(u16, u16, u64)) {
+        self.work.shift_remove(key);
+    }
+
+    /// Marks earlier runs of a restarted upstream as ended.
+    fn note_present_run(&mut self, present: &Holder) {
+        for (holder, state) in &mut self.holders {
+            if holder.upstream == present.upstream && holder.run < present.run {
+                state.has_ended = true;
+            }
+        }
+    }
+
+    /// Returns the candidates that can be reached.
+    fn usable(&self, candidates: &[Candidate]) -> Vec<Candidate> {
+        let is_usable = |candidate: &&Candidate| {
+            let state = self.holders.get(&candidate.holder);
+            state.is_none_or(|state| !state.has_ended && state.failures < SILENT_AFTER)
+        };
+        candidates.iter().filter(is_usable).cloned().collect()
+    }
+
+    /// Returns the row to write, if it is to change.
+    fn plan(
+        &mut self,
+        now: Moment,
+        candidates: &[Candidate],
+        loads: &KeyLoads,
+    ) -> Option<OwnerMap> {
+        if self.pending.is_some() {
+            return None;
+        }
+        let mut planned = self.map.clone();
+        let mut is_changed = false;
+        for range in &mut planned.ranges {
+            let key = (range.first, range.last, range.epoch);
+            let phase = self.work.get(&key).map(|work| &work.phase);
+            if phase == Some(&RangePhase::Holding) && !range.is_held {
+                range.is_held = true;
+                range.earlier = None;
+                is_changed = true;
+            }
+            if phase.is_none() && range.owner.is_some() {
+                // Superseded: the same owner is granted the keys anew.
+                self.epoch += 1;
+                range.earlier = range.owner.clone().map(|owner| (owner, range.epoch));
+                range.epoch = self.epoch;
+                range.is_held = false;
+                is_changed = true;
+            }
+        }
+        let epoch = &mut self.epoch;
+        let mut next_epoch = || {
+            *epoch += 1;
+            *epoch
+        };
+        let is_valid = |holder: &Holder| candidates.iter().any(|known| known.holder == *holder);
+        is_changed |=
+            assign_orphans(&mut planned, candidates, loads, &is_valid, &mut next_epoch);
+        let is_settled = planned.ranges.iter().all(|range| range.is_held);
+        if is_settled && now >= self.balanced_at + self.timing.balance_pause {
+            let is_moved = move_for_balance(&mut planned, candidates, loads, &mut next_epoch);
+            if is_moved {
+                self.balanced_at = now;
+                is_changed = true;
+            }
+        }
+        if !is_changed {
+            return None;
+        }
+        self.pending = Some(planned.clone());
+        Some(planned)
+    }
+
+    /// Takes a committed row over and carries on with what it kept.
+    fn set_map(&mut self, now: Moment, map: OwnerMap) {
+        let mut work = IndexMap::with_capacity(map.ranges.len());
+        for range in &map.ranges {
+            if range.owner.is_none() {
+                continue;
+            }
+            let key = (range.first, range.last, range.epoch);
+            let kept = self.work.get(&key).cloned();
+            let next = kept.unwrap_or_else(|| self.work_of_part(now, range));
+            work.insert(key, next);
+        }
+        self.work = work;
+        self.map = map;
+    }
+
+    /// Returns the work on a range that is new, or a part of an earlier one.
+    fn work_of_part(&self, now: Moment, range: &OwnedRange) -> RangeWork {
+        let whole = self.work.iter().find(|((first, last, epoch), _)| {
+            *epoch == range.epoch && *first <= range.first && range.last <= *last
+        });
+        let phase = match whole {
+            Some((_, whole)) => whole.phase.clone(),
+            None if range.is_held => RangePhase::Holding,
+            None if range.earlier.is_some() => RangePhase::Freeing,
+            None => RangePhase::Granting(None),
+        };
+        RangeWork {
+            phase,
+            due: whole.map_or(now, |(_, whole)| whole.due),
+            call: None,
+        }
+    }
+
+    /// Returns the call that a range needs now.
+    fn next_call_for(&mut self, now: Moment, index: usize) -> Option<GrantCall> {
+        let (key, work) = self.work.get_index(index)?;
+        if work.call.is_some() || work.due > now {
+            return None;
+        }
+        let key = *key;
+        let position = self.map.ranges.partition_point(|range| range.last < key.0);
+        let range = self.map.ranges.get(position)?.clone();
+        let phase = work.phase.clone();
+        match phase {
+            RangePhase::Freeing => self.free(now, index, &range),
+            RangePhase::Granting(handover) => self.grant(now, index, &range, handover),
+            RangePhase::Holding => self.grant(now, index, &range, None),
+        }
+    }
+
+    /// Asks the last holder of a range to release it, unless it can't hold it.
+    fn free(&mut self, now: Moment, index: usize, range: &OwnedRange) -> Option<GrantCall> {
+        let Some((holder, epoch)) = range.earlier.clone() else {
+            return self.grant(now, index, range, None);
+        };
+        let state = self.holders.get(&holder).copied().unwrap_or_default();
+        if state.has_ended || state.held_until <= now {
+            self.work[index].phase = RangePhase::Granting(None);
+            return self.grant(now, index, range, None);
+        }
+        if self.is_granting(&holder, range) {
+            // A release could overtake the grant that is under way.
+            return None;
+        }
+        if Some(&holder) == range.owner.as_ref() {
+            // The same run is granted the keys anew; nobody else holds them.
+            self.work[index].phase = RangePhase::Granting(None);
+            return self.grant(now, index, range, None);
+        }
+        Some(self.call(now, index, &holder, range, epoch, CallKind::Release))
+    }
+
+    /// Returns whether a grant of some of these keys to `holder` is under way.
+    fn is_granting(&self, holder: &Holder, range: &OwnedRange) -> bool {
+        self.calls.values().any(|open| {
+            let call = &open.call;
+            call.holder == *holder
+                && matches!(call.kind, CallKind::Grant { .. })
+                && call.first <= range.last
+                && range.first <= call.last
+        })
+    }
+
+    fn grant(
+        &mut self,
+        now: Moment,
+        index: usize,
+        range: &OwnedRange,
+        handover: Option<String>,
+    ) -> Option<GrantCall> {
+        let owner = range.owner.clone()?;
+        let hold = if self.is_long {
+            self.timing.long_hold
+        } else {
+            self.timing.hold
+        };
+        let state = self.holders.entry(owner.clone()).or_default();
+        if state.has_ended || state.failures >= SILENT_AFTER {
+            // A silent upstream is not renewed, so that its lease lapses.
+            return None;
+        }
+        let held_before = state.held_until;
+        state.held_until = held_before.max(now + GrantTiming::bound(hold));
+        let kind = CallKind::Grant { hold, handover };
+        let call = self.call(now, index, &owner, range, range.epoch, kind);
+        if let Some(open) = self.calls.get_mut(&call.id) {
+            open.held_before = held_before;
+        }
+        Some(call)
+    }
+
+    /// Tries to reach a silent upstream again.
+    fn probe(&mut self, now: Moment, holder: &Holder) -> Option<GrantCall> {
+        let state = self.holders.get_mut(holder)?;
+        if state.failures < SILENT_AFTER || state.probe_at > now || state.has_ended {
+            return None;
+        }
+        state.probe_at = now + PROBE_PAUSE;
+        let call = GrantCall {
+            id: self.next_call,
+            holder: holder.clone(),
+            first: 0,
+            last: 0,
+            epoch: 0,
+            kind: CallKind::Probe,
+        };
+        self.open(now, call.clone());
+        Some(call)
+    }
+
+    fn open(&mut self, now: Moment, call: GrantCall) {
+        self.next_call += 1;
+        let state = self.holders.get(&call.holder).copied().unwrap_or_default();
+        let open = OpenCall {
+            sent_at: now,
+            held_before: state.held_until,
+            bound: state.held_until,
+            call,
+        };
+        self.calls.insert(open.call.id, open);
+    }
+
+    fn call(
+        &mut self,
+        now: Moment,
+        index: usize,
+        holder: &Holder,
+        range: &OwnedRange,
+        epoch: u64,
+        kind: CallKind,
+    ) -> GrantCall {
+        let call = GrantCall {
+            id: self.next_call,
+            holder: holder.clone(),
+            first: range.first,
+            last: range.last,
+            epoch,
+            kind,
+        };
+        self.work[index].call = Some(call.id);
+        self.open(now, call.clone());
+        call
+    }
+}
--- /dev/null
+++ b/crates/grant/src/map.rs
@@ -0,0 +1,73 @@
+//! The row that says who owns which keys.
+
+use crate::KEYS;
+use kernel::UpstreamId;
+use serde::{Deserialize, Serialize};
+
+/// One run of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Holder {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// When this run of it started, in Unix milliseconds.
+    pub run: u64,
+}
+
+/// A range of keys and its owner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnedRange {
+    /// First key.
+    pub first: u16,
+    /// Last key.
+    pub last: u16,
+    /// Who owns it; absent while no upstream is there.
+    pub owner: Option<Holder>,
+    /// Fencing token of the owner's grant.
+    pub epoch: u64,
+    /// Whether the owner has taken the grant.
+    pub is_held: bool,
+    /// Who may hold it still, with the epoch of that grant.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub earlier: Option<(Holder, u64)>,
+}
+
+impl OwnedRange {
+    /// Returns the number of keys.
+    pub fn width(&self) -> u32 {
+        u32::from(self.last) - u32::from(self.first) + 1
+    }
+}
+
+/// Owners of all keys of a service, in order of the keys.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerMap {
+    /// The ranges; they cover all keys without a gap, or there are none.
+    pub ranges: Vec<OwnedRange>,
+}
+
+impl OwnerMap {
+    /// Returns the range of a key.
+    pub fn find(&self, key: u16) -> Option<&OwnedRange> {
+        let index = self.ranges.partition_point(|range| range.last < key);
+        self.ranges.get(index).filter(|range| range.first <= key)
+    }
+
+    /// Returns the greatest epoch in use.
+    pub fn greatest_epoch(&self) -> u64 {
+        let earlier = |range: &OwnedRange| range.earlier.as_ref().map_or(0, |(_, epoch)| *epoch);
+        let epochs = self.ranges.iter().map(|range| range.epoch.max(earlier(range)));
+        epochs.max().unwrap_or(0)
+    }
+
+    /// Returns whether the ranges cover all keys in order.
+    pub fn is_whole(&self) -> bool {
+        let mut next = 0;
+        for range in &self.ranges {
+            if u32::from(range.first) != next || range.last < range.first {
+                return false;
+            }
+            next = u32::from(range.last) + 1;
+        }
+        next == KEYS
+    }
+}
--- /dev/null
+++ b/crates/grant/src/timing.rs
@@ -0,0 +1,61 @@
+//! Waits of the grants and of the leader's lease.
+
+use std::time::Duration;
+
+/// Share by which an upstream's clock may run slow, in percent; the platform's
+/// contract says 2.
+const SLOW_CLOCK_PERCENT: u32 = 2;
+/// Allowance for a grant's way to the upstream; the bound on delivery within a
+/// region, with a retransmission.
+const DELIVERY_MARGIN: Duration = Duration::from_millis(300);
+
+/// Waits of the grants and of the leader's lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GrantTiming {
+    /// For which a grant holds; a silent loss of an upstream lasts this long.
+    pub hold: Duration,
+    /// The same while the store is away, so that keys outlast the outage.
+    pub long_hold: Duration,
+    /// After which a grant is renewed; leaves time for two more tries.
+    pub renew: Duration,
+    /// After which a call without an answer is given up.
+    pub call_limit: Duration,
+    /// For which the leader's lease in the store holds.
+    pub lease: Duration,
+    /// After which the leader's lease is renewed; a third of it.
+    pub lease_renew: Duration,
+    /// Between two moves of keys for balance.
+    pub balance_pause: Duration,
+}
+
+impl GrantTiming {
+    /// Builds the waits for a platform that lets a grant hold for `most`.
+    pub fn with_longest_hold(most: Duration) -> Self {
+        let preset = Self::default();
+        Self {
+            hold: preset.hold.min(most),
+            long_hold: most,
+            renew: preset.renew.min(most / 3),
+            ..preset
+        }
+    }
+
+    /// Returns how long after it was sent a grant of `hold` may be in force.
+    pub fn bound(hold: Duration) -> Duration {
+        hold * (100 + SLOW_CLOCK_PERCENT) / 100 + DELIVERY_MARGIN
+    }
+}
+
+impl Default for GrantTiming {
+    fn default() -> Self {
+        Self {
+            hold: Duration::from_millis(4_000),
+            long_hold: Duration::from_millis(10_000),
+            renew: Duration::from_millis(1_200),
+            call_limit: Duration::from_millis(500),
+            lease: Duration::from_millis(2_000),
+            lease_renew: Duration::from_millis(650),
+            balance_pause: Duration::from_millis(700),
+        }
+    }
+}
--- a/crates/h1/src/connection.rs
+++ b/crates/h1/src/connection.rs
@@ -4,8 +4,11 @@
 use crate::{
     BodyLength, BodyReader, Error, HeadLimits, RequestHead, ResponseHead, ResponsePart, Result,
 };
-use futures::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use futures::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use std::fmt;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::{Poll, ready};
 
 const READ_BYTES: usize = 16 << 10;
 const MAX_PART_BYTES: u64 = 64 << 10;
@@ -54,7 +57,7 @@
     fn consume(&mut self, bytes: usize) {
         self.start += bytes;
         if self.start == self.buffer.len() {
-            self.buffer.clear();
+            self.buffer = Vec::new();
             self.start = 0;
         }
     }
@@ -227,17 +230,34 @@
         }
     }
 
+    /// Waits until there are bytes to read; `false` at the connection's end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection fails.
+    pub async fn wait_for_bytes(&mut self) -> Result<bool> {
+        if self.has_leftover() {
+            return Ok(true);
+        }
+        self.fill().await
+    }
+
+    /// Reads some bytes behind those that are buffered.
+    ///
+    /// The bytes pass over the stack, so that a connection that waits for its peer
+    /// holds no buffer.
     async fn fill(&mut self) -> Result<bool> {
         if self.start > 0 {
             self.buffer.drain(..self.start);
             self.start = 0;
         }
-        let filled = self.buffer.len();
-        self.buffer.resize(filled + READ_BYTES, 0);
-        let read = self.stream.read(&mut self.buffer[filled..]).await;
-        let bytes = read.as_ref().map_or(0, |bytes| *bytes);
-        self.buffer.truncate(filled + bytes);
-        Ok(read? > 0)
+        let Self { stream, buffer, .. } = self;
+        let read = poll_fn(|context| {
+            let mut scratch = [0_u8; READ_BYTES];
+            let read = ready!(Pin::new(&mut *stream).poll_read(context, &mut scratch));
+            Poll::Ready(read.inspect(|bytes| buffer.extend_from_slice(&scratch[..*bytes])))
+        });
+        Ok(read.await? > 0)
     }
 }
 
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -27,6 +27,6 @@
 };
 pub use plugin::{Named, UnknownPlugin, find_plugin, inventory};
 pub use scope::TaskScope;
-pub use time::{Clock, ManualClock, Moment, SystemClock, wall_clock_ms};
+pub use time::{BootClock, Clock, ManualClock, Moment, SystemClock, wall_clock_ms};
 pub use timer::{TimerService, TimerSubscription};
 pub use verdict::{Cause, Refusal, Verdict};
--- a/crates/kernel/src/time.rs
+++ b/crates/kernel/src/time.rs
@@ -89,6 +89,21 @@
     }
 }
 
+/// The operating system's clock that also counts while the machine is suspended.
+///
+/// Leases are judged by it: a host that wakes up must know that time has passed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BootClock;
+
+impl Clock for BootClock {
+    fn now(&self) -> Moment {
+        let reading = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        // One second on top, so that no reading is zero.
+        let seconds = reading.tv_sec.unsigned_abs() + 1;
+        Moment(seconds * 1_000_000 + reading.tv_nsec.unsigned_abs() / 1_000)
+    }
+}
+
 /// A clock that a test moves by hand.
 #[derive(Clone, Debug, Default)]
 pub struct ManualClock {
--- a/crates/kernel/src/verdict.rs
+++ b/crates/kernel/src/verdict.rs
@@ -83,6 +83,12 @@
     NoSuchService => "no-such-service", 404, NotRun, false;
     /// No kind of work matches the method and path.
     NoSuchKind => "no-such-kind", 404, NotRun, false;
+    /// No route covers the host name and path.
+    NoRoute => "no-route", 404, NotRun, false;
+    /// The head exceeds the limit.
+    HeadTooLarge => "head-too-large", 431, NotRun, false;
+    /// The head or body did not arrive in time.
+    RequestTimeout => "request-timeout", 408, NotRun, false;
     /// The key is absent where the kind of work expects it.
     MissingKey => "missing-key", 400, NotRun, false;
     /// The body exceeds the kind's limit.
@@ -115,6 +121,10 @@
     UpstreamLeaving => "upstream-leaving", 503, NotRun, true;
     /// The upstream answered that it did not run the request.
     UpstreamRefused => "upstream-refused", 503, NotRun, true;
+    /// The upstream does not hold the request's key.
+    KeyMisplaced => "key-misplaced", 503, NotRun, true;
+    /// Every upstream that could run it is expected to take too long.
+    Overloaded => "overloaded", 503, NotRun, false;
     /// The upstream could not be connected to; nothing was sent.
     UpstreamUnreachable => "upstream-unreachable", 503, NotRun, true;
     /// Requests like this one crashed upstreams.
--- /dev/null
+++ b/crates/place/src/book.rs
@@ -0,0 +1,182 @@
+//! The loads of all upstreams, and the choice among them.
+//!
+//! Answers loads at which a service's slots are about to be all in use: requests
+//! go where they are expected to end first, and one that would miss its target
+//! everywhere is refused at once, so that what is taken in is answered in time.
+
+use crate::state::{LoadReport, PlaceState, SentWork, WorkEnd};
+use indexmap::IndexMap;
+use kernel::{Moment, UpstreamId};
+use std::time::Duration;
+
+/// Upstreams that are compared for one request; more would make all hosts choose
+/// the same one between two reports.
+const SAMPLE: usize = 4;
+/// Shortest time after which a refused client is asked to come back.
+const LEAST_RETRY: Duration = Duration::from_millis(50);
+
+/// An upstream that may run a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The upstream.
+    pub id: UpstreamId,
+    /// Its slots.
+    pub slots: u32,
+    /// Whether it is in this host's failure domain.
+    pub is_local: bool,
+    /// Whether it is slow after its start.
+    pub is_cold: bool,
+}
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkNeed {
+    /// Longest time until its answer for which it is worth sending.
+    pub patience: Duration,
+    /// What another failure domain costs, as time.
+    pub remote_cost: Duration,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Placement {
+    /// To this upstream.
+    Send {
+        /// The upstream.
+        id: UpstreamId,
+        /// How long it is expected to take.
+        expected: Duration,
+    },
+    /// Nowhere; there may be room after this time.
+    Refuse {
+        /// When there may be room.
+        retry_after: Duration,
+    },
+    /// Nowhere; no upstream can be reached at present.
+    Unreachable,
+}
+
+/// The load of all upstreams as one host knows it.
+#[derive(Debug)]
+pub struct PlaceBook {
+    upstreams: IndexMap<UpstreamId, PlaceState>,
+    rng: fastrand::Rng,
+}
+
+/// A request that was sent to an upstream.
+#[derive(Clone, Debug)]
+pub struct SentRequest {
+    id: UpstreamId,
+    sent: SentWork,
+}
+
+impl PlaceBook {
+    /// Builds an empty book; `seed` decides between equals.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            upstreams: IndexMap::new(),
+            rng: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// Forgets upstreams of which `is_known` does not hold and nothing is under way.
+    pub fn retain(&mut self, is_known: impl Fn(&UpstreamId) -> bool) {
+        self.upstreams.retain(|id, state| state.own() > 0 || is_known(id));
+    }
+
+    /// Returns the measured time in a slot, in milliseconds, if there is one.
+    pub fn service_ms(&self, id: &str) -> Option<f64> {
+        self.upstreams.get(id).map(PlaceState::service_ms)
+    }
+
+    /// Chooses the upstream for a request.
+    pub fn choose(&mut self, now: Moment, choices: &[Choice], need: &WorkNeed) -> Placement {
+        let mut best: Option<(f64, f64, usize)> = None;
+        let mut is_any_reached = false;
+        let offset = if choices.is_empty() {
+            0
+        } else {
+            self.rng.usize(..choices.len())
+        };
+        let mut compared = 0;
+        for step in 0..choices.len() {
+            let index = (offset + step) % choices.len();
+            let choice = &choices[index];
+            let state = self.upstreams.entry(choice.id.clone()).or_default();
+            if state.is_paused(now) {
+                continue;
+            }
+            is_any_reached = true;
+            if state.is_full(now) && choices.len() > 1 {
+                continue;
+            }
+            let service_ms = state.expected_service_ms(choice.is_cold);
+            let slots = f64::from(choice.slots.max(1));
+            let ahead = (state.occupancy(now) + 1.0 - slots).max(0.0);
+            let expected_ms = service_ms * (1.0 + ahead / slots);
+            let remote_ms = if choice.is_local {
+                0.0
+            } else {
+                need.remote_cost.as_secs_f64() * 1_000.0
+            };
+            // Below full use, the less occupied one leaves room for what comes next.
+            let crowd = state.occupancy(now) / slots;
+            let score = expected_ms + remote_ms + 0.2 * service_ms * crowd;
+            if best.is_none_or(|(least, ..)| score < least) {
+                best = Some((score, expected_ms, index));
+            }
+            compared += 1;
+            if choice.is_local && compared >= SAMPLE && need.remote_cost.is_zero() {
+                break;
+            }
+        }
+        let Some((_, expected_ms, index)) = best else {
+            if is_any_reached {
+                return Placement::Refuse {
+                    retry_after: LEAST_RETRY * 2,
+                };
+            }
+            return Placement::Unreachable;
+        };
+        let expected = Duration::from_secs_f64(expected_ms / 1_000.0);
+        if expected > need.patience {
+            let excess = (expected - need.patience).max(LEAST_RETRY);
+            let spread = excess.mul_f64(0.5 * self.rng.f64());
+            return Placement::Refuse {
+                retry_after: excess + spread,
+            };
+        }
+        Placement::Send {
+            id: choices[index].id.clone(),
+            expected,
+        }
+    }
+
+    /// Notes that a request is sent to an upstream.
+    pub fn begin(&mut self, now: Moment, id: &UpstreamId, slots: u32) -> SentRequest {
+        let state = self.upstreams.entry(id.clone()).or_default();
+        let sent = SentWork {
+            at: now,
+            occupancy: state.occupancy(now),
+            slots,
+        };
+        state.begin();
+        SentRequest {
+            id: id.clone(),
+            sent,
+        }
+    }
+
+    /// Notes how a request ended.
+    pub fn end(
+        &mut self,
+        now: Moment,
+        request: &SentRequest,
+        end: WorkEnd,
+        report: Option<LoadReport>,
+    ) {
+        if let Some(state) = self.upstreams.get_mut(&request.id) {
+            state.end(now, end, request.sent, report);
+        }
+    }
+}
--- /dev/null
+++ b/crates/place/src/state.rs
@@ -0,0 +1,179 @@
+//! What a host knows of one upstream's load.
+
+use kernel::Moment;
+use std::time::Duration;
+
+/// Expected time in a slot before any was measured; the kinds of work on the
+/// users' sheets take 100 to 400 ms.
+const FIRST_SERVICE_MS: f64 = 150.0;
+/// Weight of a new measurement of the time in a slot.
+const SERVICE_WEIGHT: f64 = 0.12;
+/// Weight of a new report of other hosts' requests.
+const REPORT_WEIGHT: f64 = 0.6;
+/// Time after which a report counts half.
+const REPORT_HALF_LIFE_MS: f64 = 1_500.0;
+/// Weight of a new outcome in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// First pause after a failed connection; doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+/// Longest pause after failed connections; an upstream that is back is tried
+/// again within this time.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// For which an upstream that said it is full is passed over; about the time in
+/// which one of its slots becomes free.
+const FULL_PAUSE: Duration = Duration::from_millis(60);
+/// How many times slower a cold upstream is taken to be.
+const COLD_FACTOR: f64 = 2.0;
+/// How much a failing upstream is avoided: at a share of failures of 1 it counts
+/// as this many times slower, and one more.
+const FAILURE_FACTOR: f64 = 6.0;
+
+/// What an upstream says of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Slots.
+    pub slots: u32,
+}
+
+/// How a request at an upstream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkEnd {
+    /// It was answered.
+    Answered,
+    /// It was answered with a failure of the upstream.
+    Failed,
+    /// The upstream had no room for it.
+    Full,
+    /// The upstream does not hold its key.
+    Misplaced,
+    /// No connection could be made.
+    Unreachable,
+    /// The connection was lost or went silent after the request was sent.
+    Lost,
+    /// The host gave the request up.
+    GivenUp,
+}
+
+/// One upstream's load as this host knows it.
+#[derive(Clone, Debug)]
+pub(crate) struct PlaceState {
+    own: u32,
+    others: f64,
+    reported_at: Moment,
+    service_ms: f64,
+    failures: f64,
+    paused_until: Moment,
+    pause: Duration,
+    full_until: Moment,
+}
+
+impl Default for PlaceState {
+    fn default() -> Self {
+        Self {
+            own: 0,
+            others: 0.0,
+            reported_at: Moment::ZERO,
+            service_ms: FIRST_SERVICE_MS,
+            failures: 0.0,
+            paused_until: Moment::ZERO,
+            pause: FIRST_PAUSE,
+            full_until: Moment::ZERO,
+        }
+    }
+}
+
+impl PlaceState {
+    pub(crate) fn begin(&mut self) {
+        self.own += 1;
+    }
+
+    pub(crate) fn own(&self) -> u32 {
+        self.own
+    }
+
+    pub(crate) fn service_ms(&self) -> f64 {
+        self.service_ms
+    }
+
+    pub(crate) fn is_paused(&self, now: Moment) -> bool {
+        now < self.paused_until
+    }
+
+    pub(crate) fn is_full(&self, now: Moment) -> bool {
+        now < self.full_until
+    }
+
+    /// Returns the requests expected at the upstream now.
+    pub(crate) fn occupancy(&self, now: Moment) -> f64 {
+        let age_ms = (now - self.reported_at).as_secs_f64() * 1_000.0;
+        let faded = self.others * 0.5_f64.powf(age_ms / REPORT_HALF_LIFE_MS);
+        f64::from(self.own) + faded
+    }
+
+    /// Returns the expected time in a slot, failures and cold start counted.
+    pub(crate) fn expected_service_ms(&self, is_cold: bool) -> f64 {
+        let cold = if is_cold { COLD_FACTOR } else { 1.0 };
+        self.service_ms * cold * (1.0 + FAILURE_FACTOR * self.failures)
+    }
+
+    pub(crate) fn end(
+        &mut self,
+        now: Moment,
+        end: WorkEnd,
+        sent: SentWork,
+        report: Option<LoadReport>,
+    ) {
+        self.own = self.own.saturating_sub(1);
+        if let Some(report) = report {
+            let all = f64::from(report.running + report.waiting);
+            let others = (all - f64::from(self.own)).max(0.0);
+            self.others = self.occupancy_of_others(now) * (1.0 - REPORT_WEIGHT) + others * REPORT_WEIGHT;
+            self.reported_at = now;
+        }
+        match end {
+            WorkEnd::Answered => {
+                self.note_service(now, sent);
+                self.note_reached(0.0);
+            }
+            WorkEnd::Failed => self.note_reached(1.0),
+            WorkEnd::Lost => self.failures += FAILURE_WEIGHT * (1.0 - self.failures),
+            WorkEnd::Full => self.full_until = now + FULL_PAUSE,
+            WorkEnd::Unreachable => {
+                self.paused_until = now + self.pause;
+                self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+            }
+            WorkEnd::Misplaced | WorkEnd::GivenUp => {}
+        }
+    }
+
+    fn occupancy_of_others(&self, now: Moment) -> f64 {
+        self.occupancy(now) - f64::from(self.own)
+    }
+
+    fn note_reached(&mut self, failure: f64) {
+        self.failures += FAILURE_WEIGHT * (failure - self.failures);
+        self.pause = FIRST_PAUSE;
+        self.paused_until = Moment::ZERO;
+    }
+
+    /// Takes the time in the slot to be the latency less the wait expected when the
+    /// request was sent.
+    fn note_service(&mut self, now: Moment, sent: SentWork) {
+        let took_ms = (now - sent.at).as_secs_f64() * 1_000.0;
+        let crowd = ((sent.occupancy + 1.0) / f64::from(sent.slots.max(1))).max(1.0);
+        let sample = (took_ms / crowd).max(1.0);
+        self.service_ms += SERVICE_WEIGHT * (sample - self.service_ms);
+    }
+}
+
+/// The circumstances in which a request was sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SentWork {
+    pub at: Moment,
+    pub occupancy: f64,
+    pub slots: u32,
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -20,7 +20,9 @@
 
 mod owners;
 mod parts;
+mod prefix;
 mod rules;
 
 pub use owners::{OwnerTable, PrimaryAddress, ShardSlot, UpstreamSlot};
+pub use prefix::{PrefixRoute, PrefixTable};
 pub use rules::{KindRoute, RouteMatch, RouteTable, ServiceRoute};
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -24,6 +24,7 @@
 mod digest;
 mod error;
 mod model;
+mod routes;
 mod validate;
 
 pub use change::{SheetChange, list_changes};
@@ -33,3 +34,4 @@
     CustomerPlan, Fencing, JournalPolicy, KeyPlace, KeyPlan, KindPlan, Rank, RankFloors,
     ServicePlan, Sheet,
 };
+pub use routes::{ClientLimits, RoutePart, RouteRule, RouteSheet, ServiceTerms, WorkKind};
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -18,6 +18,7 @@
 mod client;
 mod http;
 mod model;
+mod rows;
 
 pub use client::{ClientError, JsonClient, JsonReply};
 pub use http::HttpPlatform;
@@ -25,3 +26,6 @@
     CommitError, HostLister, ObjectStore, RowCheck, RowUpdate, StoreError, StoreFuture, StoreRow,
     StoreTransaction, TableStore,
 };
+pub use rows::{
+    FeedReply, RowName, RowPage, RowStamp, RowStore, RowWrite, TableRow, WriteError,
+};
