Let everybody who may hold a key let go of it before it is granted anew

Cause: a range kept one earlier holder. A call that is sent late is dropped, as its lease is counted from before.

--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -77,7 +77,7 @@
             return CallReply::Reached;
         };
         // Connecting took time; a grant must not leave after the lease's end.
-        if !is_valid() {
+        if !is_valid() || self.clock.now() > call.send_by {
             return CallReply::Unreachable;
         }
         let names = self.platform.headers();
--- a/crates/grant/src/balance.rs
+++ b/crates/grant/src/balance.rs
@@ -125,7 +125,7 @@
             owner: None,
             epoch: 0,
             is_held: false,
-            earlier: None,
+            earlier: Vec::new(),
         });
     }
     let mut table = ShareTable::new(candidates, map, loads);
@@ -137,7 +137,7 @@
             continue;
         }
         is_changed = true;
-        let is_first = range.owner.is_none() && range.earlier.is_none();
+        let is_first = range.owner.is_none() && range.earlier.is_empty();
         let most = if is_first { candidates.len() } else { MOST_PIECES };
         cut_orphan(range, most, &mut table, loads, next_epoch, &mut ranges);
     }
@@ -153,7 +153,7 @@
     next_epoch: &mut dyn FnMut() -> u64,
     ranges: &mut Vec<OwnedRange>,
 ) {
-    let earlier = earlier_of(&range);
+    let earlier = range.possible_holders();
     let mut first = range.first;
     for piece in 1..=most_pieces {
         let Some(row) = table.neediest() else {
@@ -183,15 +183,6 @@
     }
 }
 
-/// Returns who may hold a range's keys once its owner changes.
-fn earlier_of(range: &OwnedRange) -> Option<(Holder, u64)> {
-    // A range that was never held may still be with the one before.
-    if !range.is_held && range.earlier.is_some() {
-        return range.earlier.clone();
-    }
-    range.owner.clone().map(|owner| (owner, range.epoch))
-}
-
 /// Moves keys from upstreams with too much load; returns whether anything changed.
 ///
 /// Only ranges that are held and not on the move are touched.
@@ -271,7 +262,7 @@
         owner: Some(to.clone()),
         epoch: next_epoch(),
         is_held: false,
-        earlier: range.owner.clone().map(|owner| (owner, range.epoch)),
+        earlier: range.possible_holders(),
     });
     if last < range.last {
         parts.push(OwnedRange {
--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -12,6 +12,9 @@
 const SILENT_AFTER: u32 = 2;
 /// Between two tries of a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Longest time between a decision and the sending of its call; half of the margin
+/// that [`GrantTiming::bound`] allows.
+const SEND_LIMIT: Duration = Duration::from_millis(150);
 /// Between two tries to reach a silent upstream again.
 const PROBE_PAUSE: Duration = Duration::from_secs(2);
 
@@ -46,6 +49,8 @@
     pub epoch: u64,
     /// What is asked for.
     pub kind: CallKind,
+    /// After which it must not be sent any more; its lease is counted from before.
+    pub send_by: Moment,
 }
 
 /// What became of a call.
@@ -81,8 +86,9 @@
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum RangePhase {
-    /// The last holder has to let go of the keys.
-    Freeing,
+    /// These holders have to let go of the keys, the last of the list first; and
+    /// what one of them has handed over.
+    Freeing(Vec<(Holder, u64)>, Option<String>),
     /// The owner has to be granted the keys.
     Granting(Option<String>),
     /// The owner holds the keys and is to be renewed.
@@ -163,7 +169,7 @@
             now + GrantTiming::bound(self.timing.hold)
         };
         for range in &map.ranges {
-            let earlier = range.earlier.as_ref().map(|(holder, _)| holder);
+            let earlier = range.earlier.iter().map(|(holder, _)| holder);
             for holder in range.owner.iter().chain(earlier) {
                 let state = self.holders.entry(holder.clone()).or_default();
                 state.held_until = held_until;
@@ -264,34 +270,29 @@
         if call.kind == CallKind::Probe {
             return;
         }
-        let release_of = |range: &OwnedRange| {
-            range.first == call.first
-                && range.last == call.last
-                && range.earlier == Some((call.holder.clone(), call.epoch))
-        };
-        let (work, is_release) = if call.kind == CallKind::Release {
-            let range = self.map.ranges.iter().find(|range| release_of(range));
-            let key = range.map(|range| (range.first, range.last, range.epoch));
-            (key.and_then(|key| self.work.get_mut(&key)), true)
-        } else {
-            (self.work.get_mut(&key), false)
-        };
-        let Some(work) = work.filter(|work| work.call == Some(id)) else {
+        let is_mine = |work: &&mut RangeWork| work.call == Some(id);
+        let Some(work) = self.work.values_mut().find(is_mine) else {
             return;
         };
         work.call = None;
         work.due = now + RETRY_PAUSE;
-        match reply {
-            CallReply::Released(token) if is_release => {
-                work.phase = RangePhase::Granting(token);
+        match (reply, &mut work.phase) {
+            (CallReply::Released(token), RangePhase::Freeing(holders, handover)) => {
+                holders.pop();
+                if token.is_some() {
+                    *handover = token;
+                }
+                // A grant without an answer may still take effect.
                 work.due = now.max(state.unanswered_until);
             }
-            CallReply::Granted if !is_release => {
+            (CallReply::Granted, RangePhase::Granting(_) | RangePhase::Holding) => {
                 work.phase = RangePhase::Holding;
                 work.due = sent_at + self.timing.renew;
             }
-            CallReply::Superseded if !is_release => self.lose_range(&key),
-            CallReply::Ended | CallReply::Unanswered => work.due = now,
+            (CallReply::Superseded, RangePhase::Granting(_) | RangePhase::Holding) => {
+                self.lose_range(&key);
+            }
+            (CallReply::Ended | CallReply::Unanswered, _) => work.due = now,
             _ => {}
         }
     }
@@ -336,13 +337,13 @@
             let phase = self.work.get(&key).map(|work| &work.phase);
             if phase == Some(&RangePhase::Holding) && !range.is_held {
                 range.is_held = true;
-                range.earlier = None;
+                range.earlier.clear();
                 is_changed = true;
             }
             if phase.is_none() && range.owner.is_some() {
                 // Superseded: the same owner is granted the keys anew.
                 self.epoch += 1;
-                range.earlier = range.owner.clone().map(|owner| (owner, range.epoch));
+                range.earlier = range.possible_holders();
                 range.epoch = self.epoch;
                 range.is_held = false;
                 is_changed = true;
@@ -395,7 +396,9 @@
         let phase = match whole {
             Some((_, whole)) => whole.phase.clone(),
             None if range.is_held => RangePhase::Holding,
-            None if range.earlier.is_some() => RangePhase::Freeing,
+            None if !range.earlier.is_empty() => {
+                RangePhase::Freeing(range.earlier.clone(), None)
+            }
             None => RangePhase::Granting(None),
         };
         RangeWork {
@@ -416,32 +419,34 @@
         let range = self.map.ranges.get(position)?.clone();
         let phase = work.phase.clone();
         match phase {
-            RangePhase::Freeing => self.free(now, index, &range),
+            RangePhase::Freeing(..) => self.free(now, index, &range),
             RangePhase::Granting(handover) => self.grant(now, index, &range, handover),
             RangePhase::Holding => self.grant(now, index, &range, None),
         }
     }
 
-    /// Asks the last holder of a range to release it, unless it can't hold it.
+    /// Asks a possible holder of a range to release it, unless it can't hold it.
     fn free(&mut self, now: Moment, index: usize, range: &OwnedRange) -> Option<GrantCall> {
-        let Some((holder, epoch)) = range.earlier.clone() else {
-            return self.grant(now, index, range, None);
-        };
-        let state = self.holders.get(&holder).copied().unwrap_or_default();
-        if state.has_ended || state.held_until <= now {
-            self.work[index].phase = RangePhase::Granting(None);
-            return self.grant(now, index, range, None);
-        }
-        if self.is_granting(&holder, range) {
-            // A release could overtake the grant that is under way.
+        let RangePhase::Freeing(holders, handover) = &mut self.work[index].phase else {
             return None;
+        };
+        while let Some((holder, epoch)) = holders.last().cloned() {
+            let state = self.holders.get(&holder).copied().unwrap_or_default();
+            let is_free = state.has_ended || state.held_until <= now;
+            // The same run is granted the keys anew; that is no second holder.
+            if is_free || Some(&holder) == range.owner.as_ref() {
+                holders.pop();
+                continue;
+            }
+            if self.is_granting(&holder, range) {
+                // A release could overtake the grant that is under way.
+                return None;
+            }
+            return Some(self.call(now, index, &holder, range, epoch, CallKind::Release));
         }
-        if Some(&holder) == range.owner.as_ref() {
-            // The same run is granted the keys anew; nobody else holds them.
-            self.work[index].phase = RangePhase::Granting(None);
-            return self.grant(now, index, range, None);
-        }
-        Some(self.call(now, index, &holder, range, epoch, CallKind::Release))
+        let handover = handover.take();
+        self.work[index].phase = RangePhase::Granting(handover.clone());
+        self.grant(now, index, range, handover)
     }
 
     /// Returns whether a grant of some of these keys to `holder` is under way.
@@ -497,6 +502,7 @@
             last: 0,
             epoch: 0,
             kind: CallKind::Probe,
+            send_by: now + SEND_LIMIT,
         };
         self.open(now, call.clone());
         Some(call)
@@ -530,6 +536,7 @@
             last: range.last,
             epoch,
             kind,
+            send_by: now + SEND_LIMIT,
         };
         self.work[index].call = Some(call.id);
         self.open(now, call.clone());
--- a/crates/grant/src/map.rs
+++ b/crates/grant/src/map.rs
@@ -26,15 +26,22 @@
     pub epoch: u64,
     /// Whether the owner has taken the grant.
     pub is_held: bool,
-    /// Who may hold it still, with the epoch of that grant.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub earlier: Option<(Holder, u64)>,
+    /// Who else may hold it still, with the epochs of those grants.
+    ///
+    /// There can be several: an owner may leave before its grant is known to have
+    /// been taken, and then it and the one before it have to let go.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub earlier: Vec<(Holder, u64)>,
 }
 
 impl OwnedRange {
-    /// Returns the number of keys.
-    pub fn width(&self) -> u32 {
-        u32::from(self.last) - u32::from(self.first) + 1
+    /// Returns everybody who may hold the range once its owner changes.
+    pub(crate) fn possible_holders(&self) -> Vec<(Holder, u64)> {
+        let mut holders = self.earlier.clone();
+        if let Some(owner) = &self.owner {
+            holders.push((owner.clone(), self.epoch));
+        }
+        holders
     }
 }
 
@@ -54,8 +61,11 @@
 
     /// Returns the greatest epoch in use.
     pub fn greatest_epoch(&self) -> u64 {
-        let earlier = |range: &OwnedRange| range.earlier.as_ref().map_or(0, |(_, epoch)| *epoch);
-        let epochs = self.ranges.iter().map(|range| range.epoch.max(earlier(range)));
+        let ranges = self.ranges.iter();
+        let epochs = ranges.flat_map(|range| {
+            let earlier = range.earlier.iter().map(|(_, epoch)| *epoch);
+            earlier.chain([range.epoch])
+        });
         epochs.max().unwrap_or(0)
     }
 
