Send owners from the leader as datagrams; place keys too hot for any upstream

The leader replies to load reports with the owners that a host lacks; hosts read the store only while no leader is heard. Hot keys go to the strongest upstream and the rest is balanced beside them.

--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -4,7 +4,7 @@
 use crate::dispatch::Dispatcher;
 use crate::metrics::FrontMetrics;
 use crate::control::GrantCaller;
-use crate::reports::PeerBook;
+use crate::reports::{PeerBook, ReportLink};
 use crate::watch::{ViewKeeper, decode_owners};
 use async_channel::{Receiver, Sender, unbounded};
 use async_std::future::timeout;
@@ -26,10 +26,15 @@
 const LEAD_KEY: &str = "lead";
 /// Hosts that look after the lease often; the second covers the loss of the first.
 const STANDBYS: usize = 2;
-/// How often a standby looks after the lease; keys outlast the lease by 2 s.
-const STANDBY_POLL: Duration = Duration::from_millis(500);
-/// How often other hosts do.
-const OTHER_POLL: Duration = Duration::from_secs(3);
+/// Silence of the leader after which a standby looks after the lease; two replies.
+const STANDBY_SILENCE: Duration = Duration::from_millis(800);
+/// How often it looks then; keys outlast the lease by 2 s.
+const STANDBY_POLL: Duration = Duration::from_millis(400);
+/// Silence of the leader after which other hosts look; it may have lost the lease
+/// and the datagrams with the news.
+const OTHER_SILENCE: Duration = Duration::from_millis(2_500);
+/// How often they look then.
+const OTHER_POLL: Duration = Duration::from_millis(1_500);
 /// Hosts above which the others look less often, so that all of them together
 /// make no more calls.
 const POLL_HOSTS: u32 = 20;
@@ -56,6 +61,7 @@
     pub dispatcher: Dispatcher,
     pub caller: GrantCaller,
     pub book: Arc<PeerBook>,
+    pub link: ReportLink,
     pub clock: Arc<dyn Clock>,
     pub settings: FrontSettings,
     pub metrics: FrontMetrics,
@@ -127,14 +133,24 @@
                 self.wait_for_event(TICK).await;
                 continue;
             }
-            if now >= poll_at {
+            if now >= poll_at && !self.hears_leader() {
                 self.poll().await;
                 poll_at = self.now() + self.poll_pause();
             }
-            self.wait_for_event((poll_at - self.now()).min(TICK * 2)).await;
+            let pause = (poll_at - self.now()).clamp(TICK / 2, TICK * 2);
+            self.wait_for_event(pause).await;
         }
     }
 
+    fn hears_leader(&self) -> bool {
+        let silence = if self.parts.book.is_standby() {
+            STANDBY_SILENCE
+        } else {
+            OTHER_SILENCE
+        };
+        self.parts.book.hears_leader(silence)
+    }
+
     fn note_change(&mut self, is_leading: bool) {
         if is_leading == self.was_leading {
             return;
@@ -142,6 +158,9 @@
         self.was_leading = is_leading;
         self.parts.metrics.is_leader.set(i64::from(is_leading));
         let term = self.row.as_ref().map_or(0, |row| row.term);
+        if !is_leading {
+            self.parts.book.set_leading(None, &[]);
+        }
         info!(target: "lead", "leads={is_leading} term={term} row={}", self.row_version);
     }
 
@@ -165,7 +184,7 @@
         let Some(row) = &self.row else {
             return STANDBY_POLL;
         };
-        if row.standbys.contains(&self.parts.settings.name) || self.polls < FIRST_POLLS {
+        if self.parts.book.is_standby() || self.polls < FIRST_POLLS {
             return STANDBY_POLL;
         }
         let crowding = f64::from(row.hosts.max(POLL_HOSTS)) / f64::from(POLL_HOSTS);
@@ -257,6 +276,7 @@
             "state=taken term={term} clean={was_clean} services={}",
             self.ledgers.len(),
         );
+        self.parts.link.announce(term, true).await;
     }
 
     /// Writes the lease anew, together with rows of owners.
@@ -291,7 +311,9 @@
                 }
                 self.row_version = stamp.version;
                 self.parts.book.set_leader(row.address.parse().ok());
+                self.parts.book.set_leading(Some(row.term), &row.standbys);
                 self.row = Some(row);
+                let is_news = !values.is_empty();
                 for (service, value) in values {
                     self.owner_versions.insert(service.clone(), stamp.version);
                     self.parts.keeper.take_owners(&TableRow {
@@ -301,6 +323,9 @@
                     });
                 }
                 self.set_long(false);
+                if is_news {
+                    self.parts.link.announce(term, true).await;
+                }
                 Ok(())
             }
             Err(error) => {
@@ -308,6 +333,7 @@
                 if error == WriteError::Conflict {
                     // Somebody else has written: nothing of what is known holds.
                     self.term.give_up();
+                    self.parts.book.set_leading(None, &[]);
                     self.ledgers.clear();
                 } else {
                     self.set_long(true);
@@ -517,6 +543,8 @@
         self.term.give_up();
         let (write, _) = self.row_write(&row, &[]);
         let written = timeout(STORE_LIMIT, self.parts.store.write(&write)).await;
+        self.parts.book.set_leading(None, &[]);
+        self.parts.link.announce(term, false).await;
         info!(
             target: "lead",
             "state=resigned term={term} clean={is_clean} written={}",
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -1,11 +1,14 @@
-//! Load reports from all hosts to the leader, as datagrams.
+//! Reports of all hosts to the leader, and its replies, as datagrams.
 //!
-//! A report that is lost is followed by the next one, so datagrams fit better than
-//! calls that wait for their answer.
+//! Hosts report their load; the leader replies with what a host does not know yet,
+//! above all the owners of keys, so that only one host reads them from the store.
+//! A message that is lost is followed by the next one within a second, so datagrams
+//! fit better than calls that wait for their answer.
 
 use crate::dispatch::Dispatcher;
 use async_std::net::UdpSocket;
-use grant::KeyLoads;
+use crate::watch::ViewKeeper;
+use grant::{KeyLoads, OwnerMap};
 use indexmap::IndexMap;
 use kernel::{Clock, DomainName, Moment, ServiceName};
 use log::{debug, warn};
@@ -17,10 +20,13 @@
 
 /// Between two reports of one host.
 const REPORT_PERIOD: Duration = Duration::from_millis(1_000);
+/// The same for a standby, which notices the leader's loss by missing replies.
+const STANDBY_PERIOD: Duration = Duration::from_millis(350);
 /// For which a host counts after its last report.
 const HOST_KEPT: Duration = Duration::from_secs(5);
-/// Largest datagram, in bytes; larger ones are split on the way and lost sooner.
-const DATAGRAM_BYTES: usize = 8 << 10;
+/// Largest datagram, in bytes; the protocol's limit is 64 KB. Owners that don't fit
+/// are read from the store.
+const DATAGRAM_BYTES: usize = 60 << 10;
 /// Most keys in a report, those with most requests first.
 const MOST_KEYS: usize = 200;
 /// Time in which the load on keys fades by half; long enough to even out chance,
@@ -45,13 +51,24 @@
     /// Requests by service and key.
     pub loads: Vec<(ServiceName, Vec<(u16, f32)>)>,
     pub suspects: Vec<Suspect>,
+    /// Versions of the owners that the host knows, by service.
+    pub known: Vec<(ServiceName, u64)>,
 }
 
 /// What the leader tells every host.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct LeaderReply {
+    /// The leader's term; a smaller one is out of date.
+    pub term: u64,
+    /// Whether the sender still leads; it says so when it gives up.
+    pub is_leading: bool,
     pub hosts: u32,
     pub suspects: Vec<Suspect>,
+    /// Owners that the host did not know, by service and version.
+    pub owners: Vec<(ServiceName, u64, OwnerMap)>,
+    pub standbys: Vec<String>,
+    /// All hosts' addresses, for a standby that may have to lead.
+    pub peers: Vec<SocketAddr>,
 }
 
 /// A request that upstreams ended with.
@@ -62,6 +79,15 @@
     pub remaining_ms: u64,
 }
 
+/// A host that reported.
+#[derive(Clone, Debug)]
+struct KnownHost {
+    heard_at: Moment,
+    domain: DomainName,
+    address: SocketAddr,
+    known: Vec<(ServiceName, u64)>,
+}
+
 /// What the leader knows of the other hosts, and all of the leader.
 #[derive(Debug)]
 pub(crate) struct PeerBook {
@@ -72,7 +98,15 @@
 #[derive(Debug)]
 struct PeerState {
     leader: Option<SocketAddr>,
-    hosts: IndexMap<String, (Moment, DomainName)>,
+    term: u64,
+    heard_at: Option<Moment>,
+    is_standby: bool,
+    /// Term of this host while it leads.
+    leading: Option<u64>,
+    standbys: Vec<String>,
+    hosts: IndexMap<String, KnownHost>,
+    /// Addresses of all hosts, as the leader told this standby.
+    peers: Vec<SocketAddr>,
     loads: IndexMap<ServiceName, KeyLoads>,
     faded_at: Moment,
 }
@@ -84,7 +118,13 @@
             clock,
             state: Mutex::new(PeerState {
                 leader: None,
+                term: 0,
+                heard_at: None,
+                is_standby: false,
+                leading: None,
+                standbys: Vec::new(),
                 hosts: IndexMap::new(),
+                peers: Vec::new(),
                 loads: IndexMap::new(),
                 faded_at,
             }),
@@ -96,13 +136,54 @@
         self.state.lock().leader = leader;
     }
 
+    /// Returns whether this host leads, or has heard the leader within `span`.
+    pub(crate) fn hears_leader(&self, span: Duration) -> bool {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        state.leading.is_some() || state.heard_at.is_some_and(|at| now - at < span)
+    }
+
+    /// Returns whether this host is a standby.
+    pub(crate) fn is_standby(&self) -> bool {
+        self.state.lock().is_standby
+    }
+
+    /// Notes whether this host leads, and which hosts are its standbys.
+    pub(crate) fn set_leading(&self, leading: Option<u64>, standbys: &[String]) {
+        let mut state = self.state.lock();
+        state.leading = leading;
+        state.standbys = standbys.to_vec();
+    }
+
     /// Returns the hosts that reported lately, with their failure domains.
     pub(crate) fn hosts(&self) -> Vec<(String, DomainName)> {
         let now = self.clock.now();
         let mut state = self.state.lock();
-        state.hosts.retain(|_, (heard_at, _)| now - *heard_at < HOST_KEPT);
+        state.hosts.retain(|_, host| now - host.heard_at < HOST_KEPT);
         let hosts = state.hosts.iter();
-        hosts.map(|(name, (_, domain))| (name.clone(), domain.clone())).collect()
+        hosts.map(|(name, host)| (name.clone(), host.domain.clone())).collect()
+    }
+
+    /// Takes in what the leader says; returns whether it is up to date.
+    fn take_reply(&self, reply: &LeaderReply, from: SocketAddr, own: &str) -> bool {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        if reply.term < state.term || state.leading.is_some_and(|term| term >= reply.term) {
+            return false;
+        }
+        state.term = reply.term;
+        state.is_standby = reply.standbys.iter().any(|name| name == own);
+        if !reply.peers.is_empty() {
+            state.peers.clone_from(&reply.peers);
+        }
+        if !reply.is_leading {
+            // The next look at the store finds who leads now.
+            state.heard_at = None;
+            return true;
+        }
+        state.leader = Some(from);
+        state.heard_at = Some(now);
+        true
     }
 
     /// Returns the load on a service's keys.
@@ -119,10 +200,16 @@
         state.loads.get(service).cloned().unwrap_or_default()
     }
 
-    fn take(&self, report: &HostReport) {
+    fn take(&self, report: &HostReport, address: SocketAddr) {
         let now = self.clock.now();
         let mut state = self.state.lock();
-        state.hosts.insert(report.host.clone(), (now, report.domain.clone()));
+        let host = KnownHost {
+            heard_at: now,
+            domain: report.domain.clone(),
+            address,
+            known: report.known.clone(),
+        };
+        state.hosts.insert(report.host.clone(), host);
         for (service, keys) in &report.loads {
             let loads = state.loads.entry(service.clone()).or_default();
             for (key, requests) in keys {
@@ -139,6 +226,7 @@
 pub(crate) struct ReportLink {
     pub socket: Arc<UdpSocket>,
     pub book: Arc<PeerBook>,
+    pub keeper: Arc<ViewKeeper>,
     pub dispatcher: Dispatcher,
     pub host: String,
 }
@@ -147,17 +235,68 @@
     /// Sends a report every period, to the leader of that time.
     pub(crate) async fn send_reports(self) {
         loop {
-            async_std::task::sleep(REPORT_PERIOD).await;
+            let period = if self.book.is_standby() {
+                STANDBY_PERIOD
+            } else {
+                REPORT_PERIOD
+            };
+            async_std::task::sleep(period).await;
             let report = self.report();
             let leader = self.book.state.lock().leader;
+            let Some(leader) = leader else {
+                continue;
+            };
+            if self.socket.local_addr().ok() == Some(leader) {
+                self.book.take(&report, leader);
+                continue;
+            }
+            self.send(&PeerMessage::Report(report), leader).await;
+        }
+    }
+
+    /// Tells every host that this one leads, or no longer does, and the owners that
+    /// each does not know.
+    pub(crate) async fn announce(&self, term: u64, is_leading: bool) {
+        let mut targets: Vec<(SocketAddr, Vec<(ServiceName, u64)>)> = Vec::new();
+        {
+            let mut state = self.book.state.lock();
             let own = self.socket.local_addr().ok();
-            match leader {
-                Some(leader) if Some(leader) != own => {
-                    self.send(&PeerMessage::Report(report), leader).await;
+            for host in state.hosts.values_mut() {
+                targets.push((host.address, host.known.clone()));
+                // Not told again until the host reports that it lacks them.
+                host.known = self.keeper.owner_versions();
+            }
+            for peer in std::mem::take(&mut state.peers) {
+                if !targets.iter().any(|(address, _)| *address == peer) {
+                    targets.push((peer, Vec::new()));
                 }
-                Some(_) => self.book.take(&report),
-                None => {}
             }
+            targets.retain(|(address, _)| Some(*address) != own);
+        }
+        for (address, known) in targets {
+            let reply = self.reply(term, is_leading, &known, false);
+            self.send(&PeerMessage::Reply(reply), address).await;
+        }
+    }
+
+    fn reply(
+        &self,
+        term: u64,
+        is_leading: bool,
+        known: &[(ServiceName, u64)],
+        is_for_standby: bool,
+    ) -> LeaderReply {
+        let hosts = self.book.hosts().len() as u32;
+        let state = self.book.state.lock();
+        let peers = state.hosts.values().map(|host| host.address);
+        LeaderReply {
+            term,
+            is_leading,
+            hosts,
+            suspects: self.suspects(),
+            owners: self.keeper.newer_owners(known),
+            standbys: state.standbys.clone(),
+            peers: if is_for_standby { peers.collect() } else { Vec::new() },
         }
     }
 
@@ -175,6 +314,7 @@
             domain: parts.domain.clone(),
             loads,
             suspects: self.suspects(),
+            known: self.keeper.owner_versions(),
         }
     }
 
@@ -208,6 +348,10 @@
                 return;
             }
         };
+        if bytes.len() > DATAGRAM_BYTES {
+            debug!(target: "peers", "peer={peer} message of {} bytes not sent", bytes.len());
+            return;
+        }
         if let Err(error) = self.socket.send_to(&bytes, peer).await {
             debug!(target: "peers", "peer={peer} message not sent: {error}");
         }
@@ -227,17 +371,30 @@
             };
             match serde_json::from_slice(&buffer[..length]) {
                 Ok(PeerMessage::Report(report)) => {
-                    self.book.take(&report);
+                    self.book.take(&report, peer);
                     self.take_suspects(&report.suspects);
-                    let reply = LeaderReply {
-                        hosts: self.book.hosts().len() as u32,
-                        suspects: self.suspects(),
+                    let (leading, is_for_standby) = {
+                        let state = self.book.state.lock();
+                        (state.leading, state.standbys.contains(&report.host))
                     };
-                    self.send(&PeerMessage::Reply(reply), peer).await;
+                    // A host that does not lead stays silent, so that others look
+                    // for the leader in the store.
+                    if let Some(term) = leading {
+                        let reply = self.reply(term, true, &report.known, is_for_standby);
+                        self.send(&PeerMessage::Reply(reply), peer).await;
+                    }
                 }
                 Ok(PeerMessage::Reply(reply)) => {
+                    if !self.book.take_reply(&reply, peer, &self.host) {
+                        continue;
+                    }
                     self.take_suspects(&reply.suspects);
                     self.dispatcher.parts.budgets.set_hosts(reply.hosts);
+                    for (service, version, map) in reply.owners {
+                        if map.is_whole() {
+                            self.keeper.take_map(service, version, map);
+                        }
+                    }
                 }
                 Err(error) => debug!(target: "peers", "peer={peer} message ignored: {error}"),
             }
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -12,7 +12,7 @@
 use crate::ready::{PageSource, serve_pages};
 use crate::reports::{PeerBook, ReportLink};
 use crate::view::ViewCell;
-use crate::watch::{ViewKeeper, WatchedTable, follow};
+use crate::watch::{ViewKeeper, WatchedTable, follow, follow_owners};
 use async_std::net::{TcpListener, UdpSocket};
 use fleet::FleetTiming;
 use grant::GrantTiming;
@@ -173,19 +173,25 @@
         for (table, name) in [
             (WatchedTable::Sheet, tables.sheet),
             (WatchedTable::Entries, tables.entries),
-            (WatchedTable::Owners, tables.owners),
         ] {
             scope.spawn(follow(Arc::clone(&keeper), Arc::clone(&store), table, name));
         }
         let book = Arc::new(PeerBook::new(Arc::clone(&clock)));
+        scope.spawn(follow_owners(
+            Arc::clone(&keeper),
+            Arc::clone(&store),
+            Arc::clone(&book),
+            tables.owners,
+        ));
         let link = ReportLink {
             socket: Arc::new(socket),
             book: Arc::clone(&book),
+            keeper: Arc::clone(&keeper),
             dispatcher: dispatcher.clone(),
             host: settings.name.clone(),
         };
         scope.spawn(link.clone().send_reports());
-        scope.spawn(link.receive());
+        scope.spawn(link.clone().receive());
         scope.spawn(sweep(Arc::clone(&keeper), dispatcher.clone()));
         let leader = LeaderLoop::new(LeaderParts {
             caller: GrantCaller {
@@ -199,6 +205,7 @@
             keeper,
             dispatcher,
             book,
+            link,
             clock,
             settings: settings.clone(),
             metrics,
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -2,6 +2,7 @@
 
 use crate::adapter::UserPlatform;
 use crate::metrics::FrontMetrics;
+use crate::reports::PeerBook;
 use crate::view::{FrontView, ViewCell};
 use fleet::{FleetTiming, FleetView, KnownUpstream};
 use grant::OwnerMap;
@@ -22,8 +23,11 @@
 /// Longest pause after failed calls, so that a store that is back is noticed well
 /// within the time in which a sheet has to be in force.
 const LONGEST_PAUSE: Duration = Duration::from_millis(700);
-/// For which changes are gathered before the next call of a busy feed.
-const GATHER: Duration = Duration::from_millis(40);
+/// For which changes are gathered before the next call of a busy feed; far below
+/// the time in which a sheet or a leaving upstream has to be heard of.
+const GATHER: Duration = Duration::from_millis(300);
+/// Between two looks at the owners while no leader is heard.
+const OWNER_POLL: Duration = Duration::from_millis(1_500);
 
 /// A table that is watched.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,8 +36,6 @@
     Sheet,
     /// The upstreams' entries.
     Entries,
-    /// The owners of keys.
-    Owners,
 }
 
 /// What the store said last, and the view that follows from it.
@@ -108,11 +110,6 @@
         match table {
             WatchedTable::Sheet => self.take_sheet(rows),
             WatchedTable::Entries => self.take_entries(rows),
-            WatchedTable::Owners => {
-                for row in rows {
-                    self.take_owners(row);
-                }
-            }
         }
     }
 
@@ -189,12 +186,17 @@
         let Some(map) = row.value.as_ref().and_then(|bytes| decode_owners(&service, bytes)) else {
             return;
         };
+        self.take_map(service, row.version, map);
+    }
+
+    /// Takes in the owners of a service's keys, unless a newer version is known.
+    pub(crate) fn take_map(&self, service: ServiceName, version: u64, map: OwnerMap) {
         let mut state = self.state.lock();
         let known = state.owner_versions.entry(service.clone()).or_insert(0);
-        if row.version <= *known {
+        if version <= *known {
             return;
         }
-        *known = row.version;
+        *known = version;
         let view = self.cell.load();
         let mut owners = IndexMap::clone(&view.owners);
         owners.insert(service, map);
@@ -204,6 +206,32 @@
         }));
     }
 
+    /// Returns the versions of the owners that are known.
+    pub(crate) fn owner_versions(&self) -> Vec<(ServiceName, u64)> {
+        let state = self.state.lock();
+        let known = state.owner_versions.iter();
+        known.map(|(service, version)| (service.clone(), *version)).collect()
+    }
+
+    /// Returns the owners that are newer than the versions given.
+    pub(crate) fn newer_owners(
+        &self,
+        known: &[(ServiceName, u64)],
+    ) -> Vec<(ServiceName, u64, OwnerMap)> {
+        let view = self.cell.load();
+        let mut newer = Vec::new();
+        for (service, version) in self.owner_versions() {
+            let theirs = known.iter().find(|(name, _)| *name == service);
+            if theirs.is_some_and(|(_, theirs)| *theirs >= version) {
+                continue;
+            }
+            if let Some(map) = view.owners.get(&service) {
+                newer.push((service, version, map.clone()));
+            }
+        }
+        newer
+    }
+
     /// Notes that the store failed to answer.
     pub(crate) fn note_outage(&self, error: &StoreError) {
         self.metrics.store_failures.inc();
@@ -308,3 +336,25 @@
         }
     }
 }
+
+/// Reads the owners from the store whenever no leader is heard, for good.
+pub(crate) async fn follow_owners(
+    keeper: Arc<ViewKeeper>,
+    store: Arc<dyn RowStore>,
+    book: Arc<PeerBook>,
+    name: String,
+) {
+    loop {
+        if !book.hears_leader(OWNER_POLL) {
+            match store.list(&name).await {
+                Ok(page) => {
+                    for row in &page.rows {
+                        keeper.take_owners(row);
+                    }
+                }
+                Err(error) => keeper.note_outage(&error),
+            }
+        }
+        async_std::task::sleep(OWNER_POLL.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
+    }
+}
--- a/crates/grant/src/balance.rs
+++ b/crates/grant/src/balance.rs
@@ -2,8 +2,9 @@
 //!
 //! Answers an uneven load on the keys: each upstream is to have the share of the
 //! load that its slots and speed have of all. Orphaned keys are spread over the
-//! upstreams that have the least; a hot range is split until the rest of its
-//! owner's keys have gone elsewhere.
+//! upstreams that have the least. Keys that are too hot for any upstream, and can't
+//! be split, go to the strongest ones, which give all their other keys away; the
+//! rest is shared among the others by itself.
 
 use crate::{Holder, KEYS, KeyLoads, OwnedRange, OwnerMap};
 use kernel::UpstreamId;
@@ -17,6 +18,12 @@
 const LEAST_MOVE: f64 = 0.04;
 /// Most moves for balance in one step.
 const MOST_MOVES: usize = 4;
+/// Hot keys that are given upstreams of their own at a time.
+const MOST_HOT: usize = 21;
+/// Share of the upstreams that may serve nothing but a hot key.
+const MOST_HOT_PART: f64 = 0.34;
+/// How much stronger an upstream must be for a hot key to move there.
+const HOT_GAIN: f64 = 1.25;
 /// Most pieces that one orphaned range is cut into.
 const MOST_PIECES: usize = 6;
 
@@ -49,6 +56,8 @@
 #[derive(Debug)]
 struct ShareTable {
     rows: Vec<ShareRow>,
+    /// Share of all load that is not on hot keys; rows are shares of this.
+    rest: f64,
 }
 
 #[derive(Debug)]
@@ -58,30 +67,61 @@
     present: f64,
 }
 
+/// A bucket of keys that is too hot for any upstream, and the one that gets it.
+#[derive(Clone, Debug, PartialEq)]
+struct HotPlace {
+    first: u16,
+    last: u16,
+    share: f64,
+    holder: Holder,
+}
+
 impl ShareTable {
-    fn new(candidates: &[Candidate], map: &OwnerMap, loads: &KeyLoads) -> Self {
+    /// Builds the table of all but the hot keys and the upstreams that serve them.
+    fn new(
+        candidates: &[Candidate],
+        map: &OwnerMap,
+        loads: &KeyLoads,
+        hot: &[HotPlace],
+    ) -> Self {
+        let is_hot = |holder: &Holder| hot.iter().any(|place| place.holder == *holder);
         let takers = candidates.iter().filter(|candidate| candidate.takes_keys);
-        let whole: f64 = takers.clone().map(|candidate| candidate.capacity).sum();
+        let shared = takers.clone().filter(|candidate| !is_hot(&candidate.holder));
+        let whole: f64 = shared.map(|candidate| candidate.capacity).sum();
         let rows = takers.map(|candidate| ShareRow {
+            fair: if is_hot(&candidate.holder) {
+                0.0
+            } else {
+                candidate.capacity / whole.max(f64::MIN_POSITIVE)
+            },
             holder: candidate.holder.clone(),
-            fair: candidate.capacity / whole.max(f64::MIN_POSITIVE),
             present: 0.0,
         });
+        let hot_share: f64 = hot.iter().map(|place| place.share).sum();
         let mut table = Self {
             rows: rows.collect(),
+            rest: (1.0 - hot_share).max(0.01),
         };
         for range in &map.ranges {
             let Some(owner) = &range.owner else {
                 continue;
             };
-            table.add(owner, loads.share(range.first, range.last));
+            let mut share = loads.share(range.first, range.last);
+            for place in hot {
+                if range.first <= place.first && place.last <= range.last {
+                    share -= place.share;
+                }
+            }
+            table.add(owner, share.max(0.0));
         }
         table
     }
 
+    /// Adds a share of all load to an upstream.
     fn add(&mut self, holder: &Holder, share: f64) {
+        let part = share / self.rest;
         if let Some(row) = self.rows.iter_mut().find(|row| row.holder == *holder) {
-            row.present += share;
+            row.present += part;
         }
     }
 
@@ -94,14 +134,61 @@
         self.rows.iter().max_by(by_room)
     }
 
-    /// Returns the row with the greatest present share over its fair one.
-    fn busiest(&self) -> Option<&ShareRow> {
-        let by_ratio = |a: &&ShareRow, b: &&ShareRow| {
-            let ratio_a = a.present / a.fair;
-            ratio_a.total_cmp(&(b.present / b.fair))
+    /// Returns the rows by how much they have above their fair share, most first.
+    fn busiest(&self) -> Vec<&ShareRow> {
+        let mut rows: Vec<&ShareRow> = self.rows.iter().collect();
+        rows.sort_by(|a, b| b.excess().total_cmp(&a.excess()));
+        rows
+    }
+}
+
+impl ShareRow {
+    /// Returns the present share over the fair one.
+    fn excess(&self) -> f64 {
+        self.present / self.fair.max(1e-3)
+    }
+}
+
+/// Finds keys that are too hot for any upstream, and the upstreams to serve them.
+fn place_hot_keys(
+    candidates: &[Candidate],
+    map: &OwnerMap,
+    loads: &KeyLoads,
+) -> Vec<HotPlace> {
+    let takers: Vec<&Candidate> = candidates.iter().filter(|c| c.takes_keys).collect();
+    let mut strongest = takers.clone();
+    strongest.sort_by(|a, b| b.capacity.total_cmp(&a.capacity));
+    let most = MOST_HOT.min((takers.len() as f64 * MOST_HOT_PART) as usize);
+    let mut capacity: f64 = takers.iter().map(|candidate| candidate.capacity).sum();
+    let mut rest = 1.0;
+    let mut places: Vec<HotPlace> = Vec::new();
+    for (first, last, share) in loads.hottest(most) {
+        let is_free = |candidate: &&&Candidate| {
+            !places.iter().any(|place| place.holder == candidate.holder)
         };
-        self.rows.iter().max_by(by_ratio)
+        let Some(best) = strongest.iter().find(is_free) else {
+            break;
+        };
+        if share / rest < best.capacity / capacity {
+            break;
+        }
+        let owner = map.find(first).and_then(|range| range.owner.as_ref());
+        let present = takers.iter().find(|candidate| Some(&candidate.holder) == owner);
+        // A hot key stays where it is unless another upstream serves clearly more.
+        let chosen = match present.filter(is_free) {
+            Some(present) if present.capacity * HOT_GAIN >= best.capacity => present,
+            _ => best,
+        };
+        rest -= share;
+        capacity -= chosen.capacity;
+        places.push(HotPlace {
+            first,
+            last,
+            share,
+            holder: chosen.holder.clone(),
+        });
     }
+    places
 }
 
 /// Gives every range an owner among the candidates; returns whether anything
@@ -128,7 +215,7 @@
             earlier: Vec::new(),
         });
     }
-    let mut table = ShareTable::new(candidates, map, loads);
+    let mut table = ShareTable::new(candidates, map, loads, &[]);
     let mut ranges = Vec::with_capacity(map.ranges.len());
     let mut is_changed = false;
     for range in map.ranges.drain(..) {
@@ -192,42 +279,86 @@
     loads: &KeyLoads,
     next_epoch: &mut dyn FnMut() -> u64,
 ) -> bool {
-    let mut table = ShareTable::new(candidates, map, loads);
+    let hot = place_hot_keys(candidates, map, loads);
     let mut is_changed = false;
-    for _move in 0..MOST_MOVES {
-        let (Some(from), Some(to)) = (table.busiest(), table.neediest()) else {
-            break;
-        };
-        let is_needed = from.present > from.fair * MOST_OVER && to.present < to.fair * LEAST_UNDER;
-        let is_new = to.present <= 0.0 && from.present > from.fair;
-        if !is_needed && !is_new {
-            break;
-        }
-        let wanted = (from.present - from.fair).min(to.fair - to.present);
-        let (from, to, fair) = (from.holder.clone(), to.holder.clone(), from.fair);
-        let moved = move_piece(map, &from, &to, wanted, fair * LEAST_MOVE, loads, next_epoch);
-        let Some(moved) = moved else {
+    for place in &hot {
+        is_changed |= move_hot_key(map, place, next_epoch);
+    }
+    let mut table = ShareTable::new(candidates, map, loads, &hot);
+    let mut moves = 0;
+    while moves < MOST_MOVES {
+        let Some(moved) = move_once(map, &table, loads, &hot, next_epoch) else {
             break;
         };
-        table.add(&from, -moved);
-        table.add(&to, moved);
+        let (from, to, share) = moved;
+        table.add(&from, -share);
+        table.add(&to, share);
         is_changed = true;
+        moves += 1;
     }
     is_changed
 }
 
-/// Moves the piece of `from`'s keys whose load is nearest below `wanted`; returns
-/// its load.
-fn move_piece(
+/// Moves a hot key to the upstream that is to serve it.
+fn move_hot_key(
     map: &mut OwnerMap,
+    place: &HotPlace,
+    next_epoch: &mut dyn FnMut() -> u64,
+) -> bool {
+    let holds = |range: &OwnedRange| range.first <= place.first && place.last <= range.last;
+    let Some(index) = map.ranges.iter().position(holds) else {
+        return false;
+    };
+    let range = &map.ranges[index];
+    if !range.is_held || range.owner.as_ref() == Some(&place.holder) {
+        return false;
+    }
+    cut_out(map, index, (place.first, place.last), &place.holder, next_epoch);
+    true
+}
+
+/// Makes the one move that helps most; returns who gives, who gets, and the load.
+fn move_once(
+    map: &mut OwnerMap,
+    table: &ShareTable,
+    loads: &KeyLoads,
+    hot: &[HotPlace],
+    next_epoch: &mut dyn FnMut() -> u64,
+) -> Option<(Holder, Holder, f64)> {
+    let to = table.neediest()?;
+    let room = to.fair - to.present;
+    for from in table.busiest() {
+        let excess = from.present - from.fair;
+        let is_needed =
+            from.present > from.fair * MOST_OVER && to.present < to.fair * LEAST_UNDER;
+        let is_new = to.present <= 0.0 && excess > 0.0;
+        if !is_needed && !is_new {
+            return None;
+        }
+        let wanted = excess.min(room) * table.rest;
+        let least = to.fair * LEAST_MOVE * table.rest;
+        let piece = find_piece(map, &from.holder, wanted, least, loads, hot);
+        // What is left of a busy upstream's keys may be too hot to move.
+        let Some((index, keys, share)) = piece else {
+            continue;
+        };
+        cut_out(map, index, keys, &to.holder, next_epoch);
+        return Some((from.holder.clone(), to.holder.clone(), share));
+    }
+    None
+}
+
+/// Finds the piece of `from`'s keys whose load is nearest below `wanted`, as the
+/// range's index, the keys and the load.
+fn find_piece(
+    map: &OwnerMap,
     from: &Holder,
-    to: &Holder,
     wanted: f64,
     least: f64,
     loads: &KeyLoads,
-    next_epoch: &mut dyn FnMut() -> u64,
-) -> Option<f64> {
-    let mut best: Option<(usize, u16, u16, f64)> = None;
+    hot: &[HotPlace],
+) -> Option<(usize, (u16, u16), f64)> {
+    let mut best: Option<(usize, (u16, u16), f64)> = None;
     for (index, range) in map.ranges.iter().enumerate() {
         if !range.is_held || range.owner.as_ref() != Some(from) {
             continue;
@@ -239,15 +370,28 @@
         let back = loads
             .back_piece(range.first, range.last, wanted)
             .map(|first| (first, range.last));
-        for (first, last) in [Some(whole), front, back].into_iter().flatten() {
-            let share = loads.share(first, last);
-            if share > wanted * 1.1 || best.is_some_and(|(.., most)| share <= most) {
+        for keys in [Some(whole), front, back].into_iter().flatten() {
+            let share = loads.share(keys.0, keys.1);
+            let is_hot = hot
+                .iter()
+                .any(|place| keys.0 <= place.last && place.first <= keys.1);
+            if is_hot || share > wanted * 1.1 || best.is_some_and(|(.., most)| share <= most) {
                 continue;
             }
-            best = Some((index, first, last, share));
+            best = Some((index, keys, share));
         }
     }
-    let (index, first, last, share) = best.filter(|(.., share)| *share >= least)?;
+    best.filter(|(.., share)| *share >= least)
+}
+
+/// Gives some keys of a range to another upstream.
+fn cut_out(
+    map: &mut OwnerMap,
+    index: usize,
+    (first, last): (u16, u16),
+    to: &Holder,
+    next_epoch: &mut dyn FnMut() -> u64,
+) {
     let range = map.ranges[index].clone();
     let mut parts = Vec::new();
     if first > range.first {
@@ -271,5 +415,4 @@
         });
     }
     map.ranges.splice(index..=index, parts);
-    Some(share)
 }
--- a/crates/grant/src/loads.rs
+++ b/crates/grant/src/loads.rs
@@ -106,6 +106,22 @@
         }
     }
 
+    /// Returns the busiest buckets, as first key, last key and share of all load.
+    pub fn hottest(&self, count: usize) -> Vec<(u16, u16, f64)> {
+        let mut order: Vec<usize> = (0..BUCKETS).collect();
+        let count = count.min(BUCKETS - 1);
+        order.select_nth_unstable_by(count, |a, b| self.counts[*b].total_cmp(&self.counts[*a]));
+        order.truncate(count);
+        order.sort_by(|a, b| self.counts[*b].total_cmp(&self.counts[*a]));
+        let whole = f64::from(self.whole());
+        let buckets = order.into_iter().map(|index| {
+            let first = index as u32 * BUCKET_KEYS;
+            let share = f64::from(self.bucket(index)) / whole;
+            (first as u16, (first + BUCKET_KEYS - 1) as u16, share)
+        });
+        buckets.collect()
+    }
+
     fn prior(&self) -> f32 {
         PRIOR_SHARE * (self.total / BUCKETS as f32) + 0.01
     }
--- a/crates/grant/src/map.rs
+++ b/crates/grant/src/map.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// One run of an upstream.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Holder {
     /// The upstream.
     pub upstream: UpstreamId,
@@ -15,6 +15,7 @@
 
 /// A range of keys and its owner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "WireRange", into = "WireRange")]
 pub struct OwnedRange {
     /// First key.
     pub first: u16,
@@ -30,10 +31,54 @@
     ///
     /// There can be several: an owner may leave before its grant is known to have
     /// been taken, and then it and the one before it have to let go.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub earlier: Vec<(Holder, u64)>,
 }
 
+/// A range as rows and messages hold it: a list, as names would be most of it.
+#[derive(Serialize, Deserialize)]
+struct WireRange(
+    u16,
+    u16,
+    Option<(UpstreamId, u64)>,
+    u64,
+    bool,
+    Vec<(UpstreamId, u64, u64)>,
+);
+
+impl From<WireRange> for OwnedRange {
+    fn from(wire: WireRange) -> Self {
+        let WireRange(first, last, owner, epoch, is_held, earlier) = wire;
+        let earlier = earlier
+            .into_iter()
+            .map(|(upstream, run, epoch)| (Holder { upstream, run }, epoch));
+        Self {
+            first,
+            last,
+            owner: owner.map(|(upstream, run)| Holder { upstream, run }),
+            epoch,
+            is_held,
+            earlier: earlier.collect(),
+        }
+    }
+}
+
+impl From<OwnedRange> for WireRange {
+    fn from(range: OwnedRange) -> Self {
+        let earlier = range
+            .earlier
+            .into_iter()
+            .map(|(holder, epoch)| (holder.upstream, holder.run, epoch));
+        Self(
+            range.first,
+            range.last,
+            range.owner.map(|owner| (owner.upstream, owner.run)),
+            range.epoch,
+            range.is_held,
+            earlier.collect(),
+        )
+    }
+}
+
 impl OwnedRange {
     /// Returns everybody who may hold the range once its owner changes.
     pub(crate) fn possible_holders(&self) -> Vec<(Holder, u64)> {
