Let more upstreams move keys at a time in large services

The bound on moves in a step grows with the upstreams (12 %), at least 4. Tried with it and reverted: letting reports of others' load fade to the usual load instead of none.

--- a/crates/grant/src/balance.rs
+++ b/crates/grant/src/balance.rs
@@ -16,8 +16,11 @@
 const LEAST_UNDER: f64 = 0.9;
 /// Smallest part of a fair share that is worth a move.
 const LEAST_MOVE: f64 = 0.04;
-/// Most moves for balance in one step.
+/// Least number of moves for balance that one step may make.
 const MOST_MOVES: usize = 4;
+/// Part of the upstreams that may be moving keys for balance at a time; their keys
+/// wait until running work has ended.
+const MOST_MOVING_PART: f64 = 0.12;
 /// Hot keys that are given upstreams of their own at a time.
 const MOST_HOT: usize = 21;
 /// Share of the upstreams that may serve nothing but a hot key.
@@ -285,8 +288,9 @@
         is_changed |= move_hot_key(map, place, next_epoch);
     }
     let mut table = ShareTable::new(candidates, map, loads, &hot);
+    let most = MOST_MOVES.max((candidates.len() as f64 * MOST_MOVING_PART) as usize);
     let mut moves = 0;
-    while moves < MOST_MOVES {
+    while moves < most {
         let Some(moved) = move_once(map, &table, loads, &hot, next_epoch) else {
             break;
         };
