--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -35,8 +35,9 @@
 /// What a large answer from another failure domain costs, as time: links between
 /// domains are narrow and dear.
 const REMOTE_DOWNLOAD_COST: Duration = Duration::from_millis(150);
-/// Part of the drain bound within which the old holder of keys is still used.
-const DRAIN_PART: f64 = 0.7;
+/// Part of the drain bound within which the old holder of keys is still used; the
+/// news of its leaving may have taken over a second to arrive.
+const DRAIN_PART: f64 = 0.35;
 /// Largest part of a client's time left that it waits before it comes back.
 const RETRY_PART: f64 = 0.33;
 
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -42,6 +42,8 @@
 const FIRST_POLLS: u32 = 4;
 /// For which the upstreams must be unchanged before keys are first dealt out.
 const SETTLE: Duration = Duration::from_millis(800);
+/// After which hosts are told of changed entries once more.
+const SPREAD_AGAIN: Duration = Duration::from_millis(200);
 /// Pause after a failed write.
 const WRITE_PAUSE: Duration = Duration::from_millis(120);
 /// Longest time for a call to the store on which the lease depends.
@@ -87,6 +89,8 @@
     renew_at: Moment,
     crowd: (usize, Moment),
     was_leading: bool,
+    /// Version of the entries that all hosts were told of, and when to tell again.
+    spread: (u64, Option<Moment>),
 }
 
 impl LeaderLoop {
@@ -108,6 +112,7 @@
             renew_at: Moment::ZERO,
             crowd: (0, Moment::ZERO),
             was_leading: false,
+            spread: (0, None),
             parts,
         }
     }
@@ -416,8 +421,30 @@
         (write, values)
     }
 
+    /// Tells all hosts of changed entries, twice in case a datagram is lost.
+    async fn spread_entries(&mut self, now: Moment) {
+        let version = self.parts.keeper.entries_version();
+        let (known, again_at) = self.spread;
+        let is_due = again_at.is_some_and(|at| at <= now);
+        if version == known && !is_due {
+            return;
+        }
+        if version == known {
+            self.spread.1 = None;
+        } else {
+            let has_news = !self.parts.keeper.newer_entries(known, 1).is_empty();
+            self.spread = (version, has_news.then_some(now + SPREAD_AGAIN));
+            if !has_news {
+                return;
+            }
+        }
+        let term = self.row.as_ref().map_or(0, |row| row.term);
+        self.parts.link.announce(term, true).await;
+    }
+
     /// Steps all ledgers and does what they ask for.
     async fn lead(&mut self, now: Moment) {
+        self.spread_entries(now).await;
         let mut commits = Vec::new();
         let mut calls = Vec::new();
         for service in self.divided_services() {
@@ -501,7 +528,6 @@
     fn candidates(&mut self, now: Moment, service: &ServiceName) -> Vec<Candidate> {
         let dispatch = &self.parts.dispatcher.parts;
         let view = dispatch.view.load();
-        let place = dispatch.place.lock();
         let mut measured = Vec::new();
         for id in view.by_service.get(service).into_iter().flatten() {
             let Some(known) = view.upstreams.get(id) else {
@@ -513,7 +539,7 @@
             };
             self.addresses.insert(holder.clone(), known.entry.address);
             if known.is_staying() || known.takes_new_work(now) {
-                let service_ms = place.service_ms(id.as_str()).unwrap_or(0.0);
+                let service_ms = self.parts.book.service_ms(id.as_str()).unwrap_or(0.0);
                 measured.push((holder, known.entry.slots, known.is_staying(), service_ms));
             }
         }
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -10,13 +10,15 @@
 use crate::watch::ViewKeeper;
 use grant::{KeyLoads, OwnerMap};
 use indexmap::IndexMap;
-use kernel::{Clock, DomainName, Moment, ServiceName};
+use kernel::{Clock, DomainName, Moment, ServiceName, UpstreamId};
 use log::{debug, warn};
 use parking_lot::Mutex;
+use place::{LoadNorms, SeenLoad};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use store::TableRow;
 
 /// Between two reports of one host.
 const REPORT_PERIOD: Duration = Duration::from_millis(1_000);
@@ -27,6 +29,8 @@
 /// Largest datagram, in bytes; the protocol's limit is 64 KB. Owners that don't fit
 /// are read from the store.
 const DATAGRAM_BYTES: usize = 60 << 10;
+/// Most entries in one reply; the next one has the rest.
+const MOST_ENTRIES: usize = 120;
 /// Most keys in a report, those with most requests first.
 const MOST_KEYS: usize = 200;
 /// Time in which the load on keys fades by half; long enough to even out chance,
@@ -51,8 +55,71 @@
     /// Requests by service and key.
     pub loads: Vec<(ServiceName, Vec<(u16, f32)>)>,
     pub suspects: Vec<Suspect>,
-    /// Versions of the owners that the host knows, by service.
-    pub known: Vec<(ServiceName, u64)>,
+    /// What the host has seen of upstreams since its last report.
+    pub seen: Vec<WireLoad>,
+    /// What the host knows.
+    pub known: KnownState,
+}
+
+/// What a host knows of the store's rows.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct KnownState {
+    /// Versions of the owners, by service.
+    pub owners: Vec<(ServiceName, u64)>,
+    /// Version up to which the upstreams' entries are known.
+    pub entries: u64,
+}
+
+/// What was seen of an upstream: its id, requests, tenths of milliseconds in a slot,
+/// failures in thousandths, and hundredths of requests at a time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct WireLoad(UpstreamId, u32, u32, u32, u32);
+
+impl From<(UpstreamId, SeenLoad)> for WireLoad {
+    fn from((id, load): (UpstreamId, SeenLoad)) -> Self {
+        Self(
+            id,
+            load.requests,
+            (load.service_ms * 10.0) as u32,
+            (load.failures * 1_000.0) as u32,
+            (load.crowd * 100.0) as u32,
+        )
+    }
+}
+
+impl From<WireLoad> for (UpstreamId, SeenLoad) {
+    fn from(wire: WireLoad) -> Self {
+        let WireLoad(id, requests, service, failures, crowd) = wire;
+        let load = SeenLoad {
+            requests,
+            service_ms: f64::from(service) / 10.0,
+            failures: f64::from(failures) / 1_000.0,
+            crowd: f64::from(crowd) / 100.0,
+        };
+        (id, load)
+    }
+}
+
+/// A row of an upstream's entry, as the store has it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct WireEntry(String, u64, Option<String>);
+
+impl From<TableRow> for WireEntry {
+    fn from(row: TableRow) -> Self {
+        // Entries are texts; one that isn't can't be decoded by anybody.
+        let value = row.value.map(|bytes| String::from_utf8_lossy(&bytes).into_owned());
+        Self(row.key, row.version, value)
+    }
+}
+
+impl From<WireEntry> for TableRow {
+    fn from(WireEntry(key, version, value): WireEntry) -> Self {
+        Self {
+            key,
+            value: value.map(String::into_bytes),
+            version,
+        }
+    }
 }
 
 /// What the leader tells every host.
@@ -66,6 +133,10 @@
     pub suspects: Vec<Suspect>,
     /// Owners that the host did not know, by service and version.
     pub owners: Vec<(ServiceName, u64, OwnerMap)>,
+    /// Entries that the host did not know, in order of their versions.
+    pub entries: Vec<WireEntry>,
+    /// What all hosts have seen of the upstreams.
+    pub norms: Vec<WireLoad>,
     pub standbys: Vec<String>,
     /// All hosts' addresses, for a standby that may have to lead.
     pub peers: Vec<SocketAddr>,
@@ -85,7 +156,7 @@
     heard_at: Moment,
     domain: DomainName,
     address: SocketAddr,
-    known: Vec<(ServiceName, u64)>,
+    known: KnownState,
 }
 
 /// What the leader knows of the other hosts, and all of the leader.
@@ -108,6 +179,7 @@
     /// Addresses of all hosts, as the leader told this standby.
     peers: Vec<SocketAddr>,
     loads: IndexMap<ServiceName, KeyLoads>,
+    norms: LoadNorms,
     faded_at: Moment,
 }
 
@@ -126,6 +198,7 @@
                 hosts: IndexMap::new(),
                 peers: Vec::new(),
                 loads: IndexMap::new(),
+                norms: LoadNorms::default(),
                 faded_at,
             }),
         }
@@ -200,9 +273,23 @@
         state.loads.get(service).cloned().unwrap_or_default()
     }
 
+    /// Returns whether this host leads.
+    pub(crate) fn is_leading(&self) -> bool {
+        self.state.lock().leading.is_some()
+    }
+
+    /// Returns an upstream's time in a slot as all hosts see it, in milliseconds.
+    pub(crate) fn service_ms(&self, id: &str) -> Option<f64> {
+        self.state.lock().norms.service_ms(id)
+    }
+
     fn take(&self, report: &HostReport, address: SocketAddr) {
         let now = self.clock.now();
         let mut state = self.state.lock();
+        for seen in &report.seen {
+            let (id, load) = seen.clone().into();
+            state.norms.take(now, &id, load);
+        }
         let host = KnownHost {
             heard_at: now,
             domain: report.domain.clone(),
@@ -248,6 +335,8 @@
             };
             if self.socket.local_addr().ok() == Some(leader) {
                 self.book.take(&report, leader);
+                let norms = self.norms();
+                self.learn(&norms);
                 continue;
             }
             self.send(&PeerMessage::Report(report), leader).await;
@@ -257,24 +346,29 @@
     /// Tells every host that this one leads, or no longer does, and the owners that
     /// each does not know.
     pub(crate) async fn announce(&self, term: u64, is_leading: bool) {
-        let mut targets: Vec<(SocketAddr, Vec<(ServiceName, u64)>)> = Vec::new();
+        let mut targets: Vec<(SocketAddr, KnownState)> = Vec::new();
         {
             let mut state = self.book.state.lock();
             let own = self.socket.local_addr().ok();
             for host in state.hosts.values_mut() {
                 targets.push((host.address, host.known.clone()));
-                // Not told again until the host reports that it lacks them.
-                host.known = self.keeper.owner_versions();
+                // Owners are not told again until the host reports that it lacks
+                // them; entries are, as a leaving upstream must be heard of soon.
+                host.known.owners = self.keeper.owner_versions();
             }
             for peer in std::mem::take(&mut state.peers) {
                 if !targets.iter().any(|(address, _)| *address == peer) {
-                    targets.push((peer, Vec::new()));
+                    let known = KnownState {
+                        owners: Vec::new(),
+                        entries: self.keeper.entries_version(),
+                    };
+                    targets.push((peer, known));
                 }
             }
             targets.retain(|(address, _)| Some(*address) != own);
         }
         for (address, known) in targets {
-            let reply = self.reply(term, is_leading, &known, false);
+            let reply = self.reply(term, is_leading, &known, false, Vec::new());
             self.send(&PeerMessage::Reply(reply), address).await;
         }
     }
@@ -283,8 +377,9 @@
         &self,
         term: u64,
         is_leading: bool,
-        known: &[(ServiceName, u64)],
+        known: &KnownState,
         is_for_standby: bool,
+        norms: Vec<WireLoad>,
     ) -> LeaderReply {
         let hosts = self.book.hosts().len() as u32;
         let state = self.book.state.lock();
@@ -294,12 +389,37 @@
             is_leading,
             hosts,
             suspects: self.suspects(),
-            owners: self.keeper.newer_owners(known),
+            owners: self.keeper.newer_owners(&known.owners),
+            entries: self
+                .keeper
+                .newer_entries(known.entries, MOST_ENTRIES)
+                .into_iter()
+                .map(WireEntry::from)
+                .collect(),
+            norms,
             standbys: state.standbys.clone(),
             peers: if is_for_standby { peers.collect() } else { Vec::new() },
         }
     }
 
+    /// Returns what all hosts have seen of the upstreams lately.
+    fn norms(&self) -> Vec<WireLoad> {
+        let now = self.book.clock.now();
+        let mut state = self.book.state.lock();
+        let recent = state.norms.recent(now, REPORT_PERIOD * 3);
+        recent.into_iter().map(WireLoad::from).collect()
+    }
+
+    fn learn(&self, norms: &[WireLoad]) {
+        let parts = &self.dispatcher.parts;
+        let now = parts.clock.now();
+        let mut place = parts.place.lock();
+        for norm in norms {
+            let (id, load) = norm.clone().into();
+            place.learn(now, &id, load);
+        }
+    }
+
     fn report(&self) -> HostReport {
         let parts = &self.dispatcher.parts;
         let mut loads = Vec::new();
@@ -314,7 +434,11 @@
             domain: parts.domain.clone(),
             loads,
             suspects: self.suspects(),
-            known: self.keeper.owner_versions(),
+            seen: parts.place.lock().drain_seen().into_iter().map(WireLoad::from).collect(),
+            known: KnownState {
+                owners: self.keeper.owner_versions(),
+                entries: self.keeper.entries_version(),
+            },
         }
     }
 
@@ -380,7 +504,9 @@
                     // A host that does not lead stays silent, so that others look
                     // for the leader in the store.
                     if let Some(term) = leading {
-                        let reply = self.reply(term, true, &report.known, is_for_standby);
+                        let norms = self.norms();
+                        let reply =
+                            self.reply(term, true, &report.known, is_for_standby, norms);
                         self.send(&PeerMessage::Reply(reply), peer).await;
                     }
                 }
@@ -390,6 +516,10 @@
                     }
                     self.take_suspects(&reply.suspects);
                     self.dispatcher.parts.budgets.set_hosts(reply.hosts);
+                    self.learn(&reply.norms);
+                    let rows: Vec<TableRow> =
+                        reply.entries.into_iter().map(TableRow::from).collect();
+                    self.keeper.take_entries(&rows);
                     for (service, version, map) in reply.owners {
                         if map.is_whole() {
                             self.keeper.take_map(service, version, map);
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -170,13 +170,19 @@
         scope.spawn(serve_pages(metrics_listener, page, scope.clone()));
         let store = platform.store();
         let tables = platform.tables().clone();
+        let book = Arc::new(PeerBook::new(Arc::clone(&clock)));
         for (table, name) in [
             (WatchedTable::Sheet, tables.sheet),
             (WatchedTable::Entries, tables.entries),
         ] {
-            scope.spawn(follow(Arc::clone(&keeper), Arc::clone(&store), table, name));
+            scope.spawn(follow(
+                Arc::clone(&keeper),
+                Arc::clone(&store),
+                Arc::clone(&book),
+                table,
+                name,
+            ));
         }
-        let book = Arc::new(PeerBook::new(Arc::clone(&clock)));
         scope.spawn(follow_owners(
             Arc::clone(&keeper),
             Arc::clone(&store),
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -26,6 +26,12 @@
 /// For which changes are gathered before the next call of a busy feed; far below
 /// the time in which a sheet or a leaving upstream has to be heard of.
 const GATHER: Duration = Duration::from_millis(300);
+/// The same for the leader, which tells all others.
+const LEADER_GATHER: Duration = Duration::from_millis(80);
+/// Silence of the leader after which a host follows the entries itself.
+const LEADER_SILENCE: Duration = Duration::from_millis(2_200);
+/// For which a feed is held open while the leader is not heard.
+const SILENT_WAIT: Duration = Duration::from_secs(2);
 /// Between two looks at the owners while no leader is heard.
 const OWNER_POLL: Duration = Duration::from_millis(1_500);
 
@@ -52,6 +58,10 @@
 struct KeeperState {
     fleet: FleetView,
     owner_versions: IndexMap<ServiceName, u64>,
+    /// The newest row of each entry, removed ones too, in order of their versions.
+    entry_rows: Vec<TableRow>,
+    /// Version up to which the entries are known.
+    entries_version: u64,
     has_entries: bool,
 }
 
@@ -71,6 +81,8 @@
             state: Mutex::new(KeeperState {
                 fleet: FleetView::new(timing),
                 owner_versions: IndexMap::new(),
+                entry_rows: Vec::new(),
+                entries_version: 0,
                 has_entries: false,
             }),
         }
@@ -83,10 +95,13 @@
 
     /// Takes in all rows of a table.
     pub(crate) fn take_all(&self, table: WatchedTable, page: &RowPage) {
-        if table != WatchedTable::Entries {
-            self.take_changes(table, &page.rows);
-            return;
+        match table {
+            WatchedTable::Sheet => self.take_sheet(&page.rows),
+            WatchedTable::Entries => self.take_all_entries(page),
         }
+    }
+
+    fn take_all_entries(&self, page: &RowPage) {
         let now = self.clock.now();
         let mut entries = Vec::with_capacity(page.rows.len());
         for row in &page.rows {
@@ -102,14 +117,48 @@
         let mut state = self.state.lock();
         state.fleet.replace(now, entries);
         state.has_entries = true;
+        state.entries_version = page.version;
+        // Rows of this moment are all there are; what was removed before it has to
+        // be told to hosts that lag behind, too.
+        let is_listed = |row: &TableRow| page.rows.iter().any(|listed| listed.key == row.key);
+        let mut rows: Vec<TableRow> = page.rows.clone();
+        for row in std::mem::take(&mut state.entry_rows) {
+            if is_listed(&row) {
+                continue;
+            }
+            let version = if row.value.is_some() { page.version } else { row.version };
+            rows.push(TableRow {
+                value: None,
+                version,
+                ..row
+            });
+        }
+        rows.sort_by_key(|row| row.version);
+        state.entry_rows = rows;
         self.publish_fleet(&state.fleet);
     }
 
+    /// Returns the version up to which the entries are known.
+    pub(crate) fn entries_version(&self) -> u64 {
+        self.state.lock().entries_version
+    }
+
+    /// Returns the first `most` rows of entries that are newer than `version`.
+    pub(crate) fn newer_entries(&self, version: u64, most: usize) -> Vec<TableRow> {
+        let state = self.state.lock();
+        let from = state.entry_rows.partition_point(|row| row.version <= version);
+        state.entry_rows[from..].iter().take(most).cloned().collect()
+    }
+
     /// Takes in rows of a table that changed.
-    pub(crate) fn take_changes(&self, table: WatchedTable, rows: &[TableRow]) {
+    fn take_changes(&self, table: WatchedTable, page: &RowPage) {
         match table {
-            WatchedTable::Sheet => self.take_sheet(rows),
-            WatchedTable::Entries => self.take_entries(rows),
+            WatchedTable::Sheet => self.take_sheet(&page.rows),
+            WatchedTable::Entries => {
+                self.take_entries(&page.rows);
+                let mut state = self.state.lock();
+                state.entries_version = state.entries_version.max(page.version);
+            }
         }
     }
 
@@ -150,10 +199,22 @@
         }));
     }
 
-    fn take_entries(&self, rows: &[TableRow]) {
+    /// Takes in rows of entries, in order of their versions; those that are known
+    /// already are passed over.
+    pub(crate) fn take_entries(&self, rows: &[TableRow]) {
         let now = self.clock.now();
         let mut state = self.state.lock();
+        let known = state.entries_version;
+        if !state.has_entries || rows.iter().all(|row| row.version <= known) {
+            return;
+        }
         for row in rows {
+            if row.version <= known {
+                continue;
+            }
+            state.entries_version = state.entries_version.max(row.version);
+            state.entry_rows.retain(|earlier| earlier.key != row.key);
+            state.entry_rows.push(row.clone());
             let id = UpstreamId::from(row.key.as_str());
             let decoded = row.value.as_ref().map(|bytes| self.platform.decode_entry(&id, bytes));
             match decoded {
@@ -288,9 +349,13 @@
 }
 
 /// Follows a table for good.
+///
+/// Entries are followed by the leader and its standbys; others get them from the
+/// leader, unless it is not heard.
 pub(crate) async fn follow(
     keeper: Arc<ViewKeeper>,
     store: Arc<dyn RowStore>,
+    book: Arc<PeerBook>,
     table: WatchedTable,
     name: String,
 ) {
@@ -298,19 +363,30 @@
     let mut after = None;
     let mut is_lost = false;
     loop {
+        let mut wait = FEED_WAIT;
+        if table == WatchedTable::Entries && after.is_some() {
+            after = Some(keeper.entries_version());
+            if book.is_leading() || book.is_standby() {
+                wait = FEED_WAIT;
+            } else if book.hears_leader(LEADER_SILENCE) {
+                async_std::task::sleep(GATHER).await;
+                continue;
+            } else {
+                wait = SILENT_WAIT;
+            }
+        }
+        let gather = if book.is_leading() { LEADER_GATHER } else { GATHER };
         let outcome = match after {
             None => store.list(&name).await.map(|page| {
                 keeper.take_all(table, &page);
                 Some(page.version)
             }),
-            Some(version) => store.feed(&name, version, FEED_WAIT).await.map(|reply| {
+            Some(version) => store.feed(&name, version, wait).await.map(|reply| {
                 let FeedReply::Changes(page) = reply else {
                     warn!(target: "store", "table={name} state=history_gone after={version}");
                     return None;
                 };
-                if !page.rows.is_empty() {
-                    keeper.take_changes(table, &page.rows);
-                }
+                keeper.take_changes(table, &page);
                 Some(page.version.max(version))
             }),
         };
@@ -322,7 +398,7 @@
                 is_lost = false;
                 after = next;
                 pause = FIRST_PAUSE;
-                async_std::task::sleep(GATHER).await;
+                async_std::task::sleep(gather).await;
             }
             Err(error) => {
                 keeper.note_outage(&error);
--- a/crates/place/src/book.rs
+++ b/crates/place/src/book.rs
@@ -4,14 +4,13 @@
 //! go where they are expected to end first, and one that would miss its target
 //! everywhere is refused at once, so that what is taken in is answered in time.
 
-use crate::state::{LoadReport, PlaceState, SentWork, WorkEnd};
+use crate::state::{LoadReport, PlaceState, SeenLoad, SentWork, WorkEnd};
 use indexmap::IndexMap;
 use kernel::{Moment, UpstreamId};
 use std::time::Duration;
 
-/// Upstreams that are compared for one request; more would make all hosts choose
-/// the same one between two reports.
-const SAMPLE: usize = 4;
+/// How much an upstream's use below its slots counts, as part of a time in a slot.
+const CROWD_WEIGHT: f64 = 0.2;
 /// Shortest time after which a refused client is asked to come back.
 const LEAST_RETRY: Duration = Duration::from_millis(50);
 
@@ -84,9 +83,20 @@
         self.upstreams.retain(|id, state| state.own() > 0 || is_known(id));
     }
 
-    /// Returns the measured time in a slot, in milliseconds, if there is one.
-    pub fn service_ms(&self, id: &str) -> Option<f64> {
-        self.upstreams.get(id).map(PlaceState::service_ms)
+    /// Returns what was seen of each upstream since the last call.
+    pub fn drain_seen(&mut self) -> Vec<(UpstreamId, SeenLoad)> {
+        let mut seen = Vec::new();
+        for (id, state) in &mut self.upstreams {
+            if let Some(load) = state.drain_seen() {
+                seen.push((id.clone(), load));
+            }
+        }
+        seen
+    }
+
+    /// Takes in what all hosts together have seen of an upstream.
+    pub fn learn(&mut self, now: Moment, id: &UpstreamId, norm: SeenLoad) {
+        self.upstreams.entry(id.clone()).or_default().learn(now, norm);
     }
 
     /// Chooses the upstream for a request.
@@ -98,7 +108,6 @@
         } else {
             self.rng.usize(..choices.len())
         };
-        let mut compared = 0;
         for step in 0..choices.len() {
             let index = (offset + step) % choices.len();
             let choice = &choices[index];
@@ -110,9 +119,14 @@
             if state.is_full(now) && choices.len() > 1 {
                 continue;
             }
-            let service_ms = state.expected_service_ms(choice.is_cold);
+            let service_ms = if choices.len() == 1 {
+                state.sole_service_ms(now, choice.is_cold)
+            } else {
+                state.expected_service_ms(choice.is_cold)
+            };
             let slots = f64::from(choice.slots.max(1));
-            let ahead = (state.occupancy(now) + 1.0 - slots).max(0.0);
+            let occupancy = state.occupancy(now);
+            let ahead = (occupancy + 1.0 - slots).max(0.0);
             let expected_ms = service_ms * (1.0 + ahead / slots);
             let remote_ms = if choice.is_local {
                 0.0
@@ -120,15 +134,12 @@
                 need.remote_cost.as_secs_f64() * 1_000.0
             };
             // Below full use, the less occupied one leaves room for what comes next.
-            let crowd = state.occupancy(now) / slots;
-            let score = expected_ms + remote_ms + 0.2 * service_ms * crowd;
+            let crowd = occupancy / slots;
+            let score = (expected_ms + CROWD_WEIGHT * service_ms * crowd) * state.avoidance()
+                + remote_ms;
             if best.is_none_or(|(least, ..)| score < least) {
                 best = Some((score, expected_ms, index));
             }
-            compared += 1;
-            if choice.is_local && compared >= SAMPLE && need.remote_cost.is_zero() {
-                break;
-            }
         }
         let Some((_, expected_ms, index)) = best else {
             if is_any_reached {
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -18,7 +18,9 @@
 //! ```
 
 mod book;
+mod norms;
 mod state;
 
 pub use book::{Choice, PlaceBook, Placement, SentRequest, WorkNeed};
-pub use state::{LoadReport, WorkEnd};
+pub use norms::LoadNorms;
+pub use state::{LoadReport, SeenLoad, WorkEnd};
--- /dev/null
+++ b/crates/place/src/norms.rs
@@ -0,0 +1,85 @@
+//! What all hosts together have seen of the upstreams.
+//!
+//! Answers fleets in which one host sends an upstream a request every few seconds
+//! only: too few to learn its speed from. The leader gathers what all hosts have
+//! seen and tells them.
+
+use crate::state::SeenLoad;
+use indexmap::IndexMap;
+use kernel::{Moment, UpstreamId};
+use std::time::Duration;
+
+/// Requests after which older ones count half in the time in a slot.
+const SERVICE_MEMORY: f64 = 12.0;
+/// Time after which older reports count half in the load and the failures.
+const LOAD_HALF_LIFE: Duration = Duration::from_millis(800);
+/// For which an upstream without reports is kept.
+const NORM_KEPT: Duration = Duration::from_secs(30);
+
+#[derive(Clone, Copy, Debug)]
+struct NormState {
+    heard_at: Moment,
+    service_ms: f64,
+    load: SeenLoad,
+}
+
+/// What all hosts together have seen of the upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct LoadNorms {
+    upstreams: IndexMap<UpstreamId, NormState>,
+}
+
+impl LoadNorms {
+    /// Takes in what one host has seen of an upstream.
+    pub fn take(&mut self, now: Moment, id: &UpstreamId, seen: SeenLoad) {
+        let is_sound = [seen.service_ms, seen.failures, seen.crowd]
+            .iter()
+            .all(|number| number.is_finite() && *number >= 0.0);
+        if !is_sound || seen.requests == 0 {
+            return;
+        }
+        let Some(state) = self.upstreams.get_mut(id) else {
+            let state = NormState {
+                heard_at: now,
+                service_ms: seen.service_ms,
+                load: seen,
+            };
+            self.upstreams.insert(id.clone(), state);
+            return;
+        };
+        if seen.service_ms > 0.0 {
+            let weight = 1.0 - 0.5_f64.powf(f64::from(seen.requests) / SERVICE_MEMORY);
+            if state.service_ms <= 0.0 {
+                state.service_ms = seen.service_ms;
+            }
+            state.service_ms += weight * (seen.service_ms - state.service_ms);
+        }
+        // Hosts report one after the other; each moves the load a little.
+        let elapsed = (now - state.heard_at).max(Duration::from_millis(40));
+        let fresh = 1.0 - 0.5_f64.powf(elapsed.as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64());
+        state.load.crowd += fresh * (seen.crowd - state.load.crowd);
+        state.load.failures += fresh * (seen.failures - state.load.failures);
+        state.heard_at = now;
+    }
+
+    /// Returns the measured time in a slot, in milliseconds.
+    pub fn service_ms(&self, id: &str) -> Option<f64> {
+        let state = self.upstreams.get(id)?;
+        (state.service_ms > 0.0).then_some(state.service_ms)
+    }
+
+    /// Returns what is known of each upstream heard of within `span`, and forgets
+    /// those not heard of for long.
+    pub fn recent(&mut self, now: Moment, span: Duration) -> Vec<(UpstreamId, SeenLoad)> {
+        self.upstreams.retain(|_, state| now - state.heard_at < NORM_KEPT);
+        let recent = self.upstreams.iter().filter(|(_, state)| now - state.heard_at < span);
+        let loads = recent.map(|(id, state)| {
+            let load = SeenLoad {
+                service_ms: state.service_ms,
+                ..state.load
+            };
+            (id.clone(), load)
+        });
+        loads.collect()
+    }
+}
--- a/crates/place/src/state.rs
+++ b/crates/place/src/state.rs
@@ -12,6 +12,10 @@
 const REPORT_WEIGHT: f64 = 0.6;
 /// Time after which a report counts half.
 const REPORT_HALF_LIFE_MS: f64 = 1_500.0;
+/// Age at which what all hosts have seen is out of date.
+const NORM_KEPT: Duration = Duration::from_secs(5);
+/// Weight of this host's own measurements beside those of all hosts.
+const OWN_WEIGHT: f64 = 0.25;
 /// Weight of a new outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
 /// First pause after a failed connection; doubles with each further one.
@@ -24,8 +28,8 @@
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 /// How many times slower a cold upstream is taken to be.
 const COLD_FACTOR: f64 = 2.0;
-/// How much a failing upstream is avoided: at a share of failures of 1 it counts
-/// as this many times slower, and one more.
+/// How much a failing upstream is avoided where there is a choice: at a share of
+/// failures of 1 it counts as this many times slower, and one more.
 const FAILURE_FACTOR: f64 = 6.0;
 
 /// What an upstream says of its load.
@@ -39,6 +43,19 @@
     pub slots: u32,
 }
 
+/// What one host has seen of an upstream since its last report.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SeenLoad {
+    /// Requests that ended.
+    pub requests: u32,
+    /// Mean time in a slot, in milliseconds; 0 without an answered request.
+    pub service_ms: f64,
+    /// Share of requests that failed.
+    pub failures: f64,
+    /// Mean number of requests at the upstream, those of all hosts together.
+    pub crowd: f64,
+}
+
 /// How a request at an upstream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WorkEnd {
@@ -69,6 +86,19 @@
     paused_until: Moment,
     pause: Duration,
     full_until: Moment,
+    seen: SeenSums,
+    norm: Option<(Moment, SeenLoad)>,
+}
+
+/// Sums since the last report.
+#[derive(Clone, Copy, Debug, Default)]
+struct SeenSums {
+    requests: u32,
+    answered: u32,
+    service_ms: f64,
+    failures: u32,
+    reports: u32,
+    crowd: f64,
 }
 
 impl Default for PlaceState {
@@ -82,6 +112,8 @@
             paused_until: Moment::ZERO,
             pause: FIRST_PAUSE,
             full_until: Moment::ZERO,
+            seen: SeenSums::default(),
+            norm: None,
         }
     }
 }
@@ -95,8 +127,28 @@
         self.own
     }
 
-    pub(crate) fn service_ms(&self) -> f64 {
-        self.service_ms
+    /// Returns what was seen since the last call; `None` when nothing was.
+    pub(crate) fn drain_seen(&mut self) -> Option<SeenLoad> {
+        let seen = std::mem::take(&mut self.seen);
+        if seen.requests == 0 {
+            return None;
+        }
+        Some(SeenLoad {
+            requests: seen.requests,
+            service_ms: seen.service_ms / f64::from(seen.answered.max(1)),
+            failures: f64::from(seen.failures) / f64::from(seen.requests),
+            crowd: seen.crowd / f64::from(seen.reports.max(1)),
+        })
+    }
+
+    /// Takes in what all hosts together have seen.
+    pub(crate) fn learn(&mut self, now: Moment, norm: SeenLoad) {
+        self.norm = Some((now, norm));
+    }
+
+    fn norm(&self, now: Moment) -> Option<SeenLoad> {
+        let (at, norm) = self.norm?;
+        (now - at < NORM_KEPT).then_some(norm)
     }
 
     pub(crate) fn is_paused(&self, now: Moment) -> bool {
@@ -114,10 +166,28 @@
         f64::from(self.own) + faded
     }
 
-    /// Returns the expected time in a slot, failures and cold start counted.
+    /// Returns the expected time in a slot, from this host's measurements.
     pub(crate) fn expected_service_ms(&self, is_cold: bool) -> f64 {
-        let cold = if is_cold { COLD_FACTOR } else { 1.0 };
-        self.service_ms * cold * (1.0 + FAILURE_FACTOR * self.failures)
+        self.service_ms * if is_cold { COLD_FACTOR } else { 1.0 }
+    }
+
+    /// Returns the expected time in a slot of the only upstream that may run a
+    /// request.
+    ///
+    /// What all hosts have seen counts here alone: where there is a choice, all
+    /// hosts would make the same one by it.
+    pub(crate) fn sole_service_ms(&self, now: Moment, is_cold: bool) -> f64 {
+        let norm = self.norm(now).filter(|norm| norm.service_ms > 0.0);
+        let service_ms = match norm {
+            Some(norm) => norm.service_ms * (1.0 - OWN_WEIGHT) + self.service_ms * OWN_WEIGHT,
+            None => self.service_ms,
+        };
+        service_ms * if is_cold { COLD_FACTOR } else { 1.0 }
+    }
+
+    /// Returns by how much an upstream is avoided for its failures; 1 is not at all.
+    pub(crate) fn avoidance(&self) -> f64 {
+        1.0 + FAILURE_FACTOR * self.failures
     }
 
     pub(crate) fn end(
@@ -128,7 +198,10 @@
         report: Option<LoadReport>,
     ) {
         self.own = self.own.saturating_sub(1);
+        self.seen.requests += 1;
         if let Some(report) = report {
+            self.seen.reports += 1;
+            self.seen.crowd += f64::from(report.running + report.waiting);
             let all = f64::from(report.running + report.waiting);
             let others = (all - f64::from(self.own)).max(0.0);
             self.others = self.occupancy_of_others(now) * (1.0 - REPORT_WEIGHT) + others * REPORT_WEIGHT;
@@ -139,8 +212,14 @@
                 self.note_service(now, sent);
                 self.note_reached(0.0);
             }
-            WorkEnd::Failed => self.note_reached(1.0),
-            WorkEnd::Lost => self.failures += FAILURE_WEIGHT * (1.0 - self.failures),
+            WorkEnd::Failed => {
+                self.seen.failures += 1;
+                self.note_reached(1.0);
+            }
+            WorkEnd::Lost => {
+                self.seen.failures += 1;
+                self.failures += FAILURE_WEIGHT * (1.0 - self.failures);
+            }
             WorkEnd::Full => self.full_until = now + FULL_PAUSE,
             WorkEnd::Unreachable => {
                 self.paused_until = now + self.pause;
@@ -166,6 +245,8 @@
         let took_ms = (now - sent.at).as_secs_f64() * 1_000.0;
         let crowd = ((sent.occupancy + 1.0) / f64::from(sent.slots.max(1))).max(1.0);
         let sample = (took_ms / crowd).max(1.0);
+        self.seen.answered += 1;
+        self.seen.service_ms += sample;
         self.service_ms += SERVICE_WEIGHT * (sample - self.service_ms);
     }
 }
