Bound the owners' row and the leader's replies; take the lease by the store's clock alone

Ranges are joined and bounded, replies name unusual upstreams only, 40 at a time, strong hosts lead, and a lost write of the same run makes the leader read the owners anew.

--- a/crates/front/src/adapter.rs
+++ b/crates/front/src/adapter.rs
@@ -23,6 +23,8 @@
     pub ready: SocketAddr,
     /// Where other hosts send load reports (UDP) and metrics are served (TCP).
     pub internal: SocketAddr,
+    /// Its processor, in thousandths of a core.
+    pub millicores: u32,
     /// Waits and limits that the deployment sets.
     pub bounds: FrontBounds,
 }
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -37,7 +37,7 @@
 const REMOTE_DOWNLOAD_COST: Duration = Duration::from_millis(150);
 /// Part of the drain bound within which the old holder of keys is still used; the
 /// news of its leaving may have taken over a second to arrive.
-const DRAIN_PART: f64 = 0.35;
+const DRAIN_PART: f64 = 0.25;
 /// Largest part of a client's time left that it waits before it comes back.
 const RETRY_PART: f64 = 0.33;
 
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -20,6 +20,9 @@
 
 /// Between two steps of the ledgers when nothing happens.
 const TICK: Duration = Duration::from_millis(100);
+/// Processor from which a host leads without waiting for a stronger one, in
+/// thousandths of a core; control of 300 upstreams takes about a tenth of it.
+const STRONG_MILLICORES: u32 = 130;
 /// Key of the lease's row.
 const LEAD_KEY: &str = "lead";
 /// Hosts that look after the lease often; the second covers the loss of the first.
@@ -78,6 +81,10 @@
     term: LeadTerm,
     row: Option<LeadRow>,
     row_version: u64,
+    /// The store's clock at the last look at the lease.
+    store_now_ms: u64,
+    /// Version of the last write of this run that was confirmed.
+    written_version: u64,
     ledgers: IndexMap<ServiceName, GrantLedger>,
     owner_versions: IndexMap<ServiceName, u64>,
     addresses: IndexMap<Holder, SocketAddr>,
@@ -101,6 +108,8 @@
             term: LeadTerm::default(),
             row: None,
             row_version: 0,
+            store_now_ms: 0,
+            written_version: 0,
             ledgers: IndexMap::new(),
             owner_versions: IndexMap::new(),
             addresses: IndexMap::new(),
@@ -200,14 +209,17 @@
         if !self.read_row().await {
             return;
         }
-        let store_now = self.term.expiry_ms(self.now(), Duration::ZERO).unwrap_or(0);
+        let store_now = self.store_now_ms;
         let name = &self.parts.settings.name;
         let is_own = self.row.as_ref().is_some_and(|row| row.run == self.run);
         let may_take = self
             .row
             .as_ref()
             .is_none_or(|row| row.may_be_taken(name, self.run, store_now));
-        if is_own || (may_take && self.parts.keeper.is_complete()) {
+        // At a start all hosts look at once; a strong one is to lead.
+        let is_weak = self.parts.settings.millicores < STRONG_MILLICORES;
+        let is_early = is_weak && self.polls < FIRST_POLLS;
+        if is_own || (may_take && !is_early && self.parts.keeper.is_complete()) {
             self.take_lease(is_own).await;
         }
     }
@@ -229,6 +241,7 @@
             }
         };
         self.term.note_reading(sent_at, page.store_now_ms);
+        self.store_now_ms = page.store_now_ms;
         let found = page.rows.iter().find(|row| row.key == LEAD_KEY);
         self.row_version = found.map_or(0, |row| row.version);
         self.row = found.and_then(parse_lead);
@@ -247,10 +260,12 @@
         let term = before
             .as_ref()
             .map_or(1, |row| if is_own { row.term } else { row.term + 1 });
+        // A write of this run whose answer was lost may have been done since.
+        let is_unchanged = self.row_version == self.written_version;
         if self.write(term, Vec::new()).await.is_err() {
             return;
         }
-        if is_own && !self.ledgers.is_empty() {
+        if is_own && is_unchanged && !self.ledgers.is_empty() {
             info!(target: "lead", "state=regained term={term}");
             return;
         }
@@ -318,6 +333,7 @@
                     self.term.note_reading(sent_at, stamp.store_now_ms);
                 }
                 self.row_version = stamp.version;
+                self.written_version = stamp.version;
                 self.parts.book.set_leader(row.address.parse().ok());
                 self.parts.book.set_leading(Some(row.term), &row.standbys);
                 self.row = Some(row);
@@ -384,11 +400,18 @@
     fn lead_row(&self, term: u64, expires_ms: u64, is_clean: bool) -> LeadRow {
         let settings = &self.parts.settings;
         let mut others = self.parts.book.hosts();
-        others.retain(|(name, _)| *name != settings.name);
+        others.retain(|host| host.name != settings.name);
         let hosts = others.len() as u32 + 1;
         // A standby in another failure domain outlives the loss of this one.
-        others.sort_by_key(|(name, domain)| (*domain == settings.domain, name.clone()));
-        let standbys = others.into_iter().take(STANDBYS).map(|(name, _)| name);
+        others.sort_by_key(|host| {
+            let is_near = host.domain == settings.domain;
+            (
+                is_near,
+                std::cmp::Reverse(host.millicores),
+                host.name.clone(),
+            )
+        });
+        let standbys = others.into_iter().take(STANDBYS).map(|host| host.name);
         LeadRow {
             term,
             host: settings.name.clone(),
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -21,7 +21,7 @@
 use store::TableRow;
 
 /// Between two reports of one host.
-const REPORT_PERIOD: Duration = Duration::from_secs(1);
+const REPORT_PERIOD: Duration = Duration::from_millis(700);
 /// The same for a standby, which notices the leader's loss by missing replies.
 const STANDBY_PERIOD: Duration = Duration::from_millis(350);
 /// For which a host counts after its last report.
@@ -31,6 +31,8 @@
 const DATAGRAM_BYTES: usize = 60 << 10;
 /// Most entries in one reply; the next one has the rest.
 const MOST_ENTRIES: usize = 120;
+/// Most speeds of upstreams in one reply.
+const MOST_NORMS: usize = 40;
 /// Most keys in a report, those with most requests first.
 const MOST_KEYS: usize = 200;
 /// Time in which the load on keys fades by half; long enough to even out chance,
@@ -52,6 +54,7 @@
 pub(crate) struct HostReport {
     pub host: String,
     pub domain: DomainName,
+    pub millicores: u32,
     /// Requests by service and key.
     pub loads: Vec<(ServiceName, Vec<(u16, f32)>)>,
     pub suspects: Vec<Suspect>,
@@ -152,11 +155,20 @@
     pub remaining_ms: u64,
 }
 
+/// A host as the leader sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerHost {
+    pub name: String,
+    pub domain: DomainName,
+    pub millicores: u32,
+}
+
 /// A host that reported.
 #[derive(Clone, Debug)]
 struct KnownHost {
     heard_at: Moment,
     domain: DomainName,
+    millicores: u32,
     address: SocketAddr,
     known: KnownState,
 }
@@ -182,6 +194,10 @@
     peers: Vec<SocketAddr>,
     loads: IndexMap<ServiceName, KeyLoads>,
     norms: LoadNorms,
+    /// Upstreams whose speed is unusual, since when, and where to go on.
+    odd: Vec<(UpstreamId, SeenLoad)>,
+    odd_at: Moment,
+    odd_from: usize,
     faded_at: Moment,
 }
 
@@ -201,6 +217,9 @@
                 peers: Vec::new(),
                 loads: IndexMap::new(),
                 norms: LoadNorms::default(),
+                odd: Vec::new(),
+                odd_at: Moment::ZERO,
+                odd_from: 0,
                 faded_at,
             }),
         }
@@ -230,17 +249,20 @@
         state.standbys = standbys.to_vec();
     }
 
-    /// Returns the hosts that reported lately, with their failure domains.
-    pub(crate) fn hosts(&self) -> Vec<(String, DomainName)> {
+    /// Returns the hosts that reported lately.
+    pub(crate) fn hosts(&self) -> Vec<PeerHost> {
         let now = self.clock.now();
         let mut state = self.state.lock();
         state
             .hosts
             .retain(|_, host| now - host.heard_at < HOST_KEPT);
         let hosts = state.hosts.iter();
-        hosts
-            .map(|(name, host)| (name.clone(), host.domain.clone()))
-            .collect()
+        let hosts = hosts.map(|(name, host)| PeerHost {
+            name: name.clone(),
+            domain: host.domain.clone(),
+            millicores: host.millicores,
+        });
+        hosts.collect()
     }
 
     /// Takes in what the leader says; returns whether it is up to date.
@@ -299,6 +321,7 @@
         let host = KnownHost {
             heard_at: now,
             domain: report.domain.clone(),
+            millicores: report.millicores,
             address,
             known: report.known.clone(),
         };
@@ -322,6 +345,7 @@
     pub keeper: Arc<ViewKeeper>,
     pub dispatcher: Dispatcher,
     pub host: String,
+    pub millicores: u32,
 }
 
 impl ReportLink {
@@ -412,12 +436,20 @@
         }
     }
 
-    /// Returns what all hosts have seen of the upstreams lately.
+    /// Returns the next upstreams whose speed differs clearly from the usual one; the
+    /// others come with later replies, as small hosts have narrow links.
     fn norms(&self) -> Vec<WireLoad> {
         let now = self.book.clock.now();
         let mut state = self.book.state.lock();
-        let recent = state.norms.recent(now, REPORT_PERIOD * 3);
-        recent.into_iter().map(WireLoad::from).collect()
+        if now - state.odd_at >= REPORT_PERIOD {
+            state.odd = state.norms.unusual(now, REPORT_PERIOD * 4);
+            state.odd_at = now;
+            let count = state.odd.len().max(1);
+            state.odd_from = (state.odd_from + MOST_NORMS) % count;
+        }
+        let from = state.odd_from.min(state.odd.len());
+        let rest = state.odd[from..].iter().chain(&state.odd[..from]);
+        rest.take(MOST_NORMS).cloned().map(WireLoad::from).collect()
     }
 
     fn learn(&self, norms: &[WireLoad]) {
@@ -442,6 +474,7 @@
         HostReport {
             host: self.host.clone(),
             domain: parts.domain.clone(),
+            millicores: self.millicores,
             loads,
             suspects: self.suspects(),
             seen: parts
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -276,6 +276,7 @@
             keeper: Arc::clone(&keeper),
             dispatcher: dispatcher.clone(),
             host: parts.settings.name.clone(),
+            millicores: parts.settings.millicores,
         };
         scope.spawn(link.clone().send_reports());
         scope.spawn(link.clone().receive());
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -28,8 +28,9 @@
 const GATHER: Duration = Duration::from_millis(300);
 /// The same for the leader, which tells all others.
 const LEADER_GATHER: Duration = Duration::from_millis(80);
-/// Silence of the leader after which a host follows the entries itself.
-const LEADER_SILENCE: Duration = Duration::from_millis(2_200);
+/// Silence of the leader after which a host follows the entries itself, so that it
+/// hears of a leaving upstream in time; one lost reply is enough.
+const LEADER_SILENCE: Duration = Duration::from_millis(1_100);
 /// For which a feed is held open while the leader is not heard.
 const SILENT_WAIT: Duration = Duration::from_secs(2);
 /// Between two looks at the owners while no leader is heard.
@@ -390,7 +391,7 @@
             if book.is_leading() || book.is_standby() {
                 wait = FEED_WAIT;
             } else if book.hears_leader(LEADER_SILENCE) {
-                async_std::task::sleep(GATHER).await;
+                async_std::task::sleep(LEADER_GATHER).await;
                 continue;
             } else {
                 wait = SILENT_WAIT;
--- a/crates/grant/src/balance.rs
+++ b/crates/grant/src/balance.rs
@@ -28,7 +28,13 @@
 /// How much stronger an upstream must be for a hot key to move there.
 const HOT_GAIN: f64 = 1.25;
 /// Most pieces that one orphaned range is cut into.
-const MOST_PIECES: usize = 6;
+const MOST_PIECES: usize = 4;
+/// Ranges for each upstream above which no range is split for balance; each range
+/// is renewed by a call of its own.
+const RANGES_EACH: usize = 3;
+/// Ranges above which none is split at all; the row that holds them is limited to
+/// 64 KB and a range takes about 60 bytes.
+const MOST_RANGES: usize = 800;
 
 /// An upstream that may be given keys.
 #[derive(Clone, Debug, PartialEq)]
@@ -213,6 +219,7 @@
         });
     }
     let mut table = ShareTable::new(candidates, map, loads, &[]);
+    let may_split = may_split(map, candidates.len());
     let mut ranges = Vec::with_capacity(map.ranges.len());
     let mut is_changed = false;
     for range in map.ranges.drain(..) {
@@ -223,9 +230,11 @@
         is_changed = true;
         let is_first = range.owner.is_none() && range.earlier.is_empty();
         let most = if is_first {
-            candidates.len()
-        } else {
+            candidates.len().min(MOST_RANGES)
+        } else if may_split {
             MOST_PIECES
+        } else {
+            1
         };
         cut_orphan(&range, most, &mut table, loads, next_epoch, &mut ranges);
     }
@@ -233,6 +242,39 @@
     is_changed
 }
 
+/// Returns whether there is room for more ranges.
+fn may_split(map: &OwnerMap, upstreams: usize) -> bool {
+    map.ranges.len() < MOST_RANGES.min(upstreams * RANGES_EACH + MOST_HOT * 2)
+}
+
+/// Joins neighbouring ranges that one upstream holds; returns whether any were.
+///
+/// The joined range gets an epoch of its own, with which its owner is renewed.
+pub(crate) fn join_neighbours(map: &mut OwnerMap, next_epoch: &mut dyn FnMut() -> u64) -> bool {
+    let mut joined: Vec<OwnedRange> = Vec::with_capacity(map.ranges.len());
+    let mut fresh = Vec::new();
+    for range in map.ranges.drain(..) {
+        let Some(before) = joined.last_mut() else {
+            joined.push(range);
+            continue;
+        };
+        let is_same = before.is_held && range.is_held && before.owner == range.owner;
+        if !is_same {
+            joined.push(range);
+            continue;
+        }
+        before.last = range.last;
+        if fresh.last() != Some(&(joined.len() - 1)) {
+            fresh.push(joined.len() - 1);
+        }
+    }
+    for index in &fresh {
+        joined[*index].epoch = next_epoch();
+    }
+    map.ranges = joined;
+    !fresh.is_empty()
+}
+
 fn cut_orphan(
     range: &OwnedRange,
     most_pieces: usize,
@@ -340,7 +382,8 @@
         }
         let wanted = excess.min(room) * table.rest;
         let least = to.fair * LEAST_MOVE * table.rest;
-        let piece = find_piece(map, &from.holder, wanted, least, loads, hot);
+        let may_split = may_split(map, table.rows.len());
+        let piece = find_piece(map, &from.holder, (wanted, least), loads, hot, may_split);
         // What is left of a busy upstream's keys may be too hot to move.
         let Some((index, keys, share)) = piece else {
             continue;
@@ -356,10 +399,10 @@
 fn find_piece(
     map: &OwnerMap,
     from: &Holder,
-    wanted: f64,
-    least: f64,
+    (wanted, least): (f64, f64),
     loads: &KeyLoads,
     hot: &[HotPlace],
+    may_split: bool,
 ) -> Option<(usize, (u16, u16), f64)> {
     let mut best: Option<(usize, (u16, u16), f64)> = None;
     for (index, range) in map.ranges.iter().enumerate() {
@@ -373,7 +416,8 @@
         let back = loads
             .back_piece(range.first, range.last, wanted)
             .map(|first| (first, range.last));
-        for keys in [Some(whole), front, back].into_iter().flatten() {
+        let parts = [front, back].into_iter().flatten().filter(|_| may_split);
+        for keys in parts.chain([whole]) {
             let share = loads.share(keys.0, keys.1);
             let is_hot = hot
                 .iter()
--- a/crates/grant/src/lead.rs
+++ b/crates/grant/src/lead.rs
@@ -28,7 +28,8 @@
 
 impl LeadRow {
     /// Returns whether host `host` in its run `run` may take the lease at
-    /// `store_now_ms`.
+    /// `store_now_ms`, which must be a reading of the store's clock and no estimate:
+    /// one that runs ahead would make two leaders.
     ///
     /// An earlier run of the same host has ended, so its lease is void.
     pub fn may_be_taken(&self, host: &str, run: u64, store_now_ms: u64) -> bool {
--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -1,6 +1,6 @@
 //! The leader's state machine: what to write, grant and release.
 
-use crate::balance::{Candidate, assign_orphans, move_for_balance};
+use crate::balance::{Candidate, assign_orphans, join_neighbours, move_for_balance};
 use crate::{GrantTiming, Holder, KeyLoads, OwnedRange, OwnerMap};
 use indexmap::IndexMap;
 use kernel::Moment;
@@ -363,6 +363,10 @@
                 self.balanced_at = now;
                 is_changed = true;
             }
+            // Alone it is no reason to write; ranges are joined beside other changes.
+            if is_changed {
+                join_neighbours(&mut planned, &mut next_epoch);
+            }
         }
         if !is_changed {
             return None;
--- a/crates/grant/tests/world/mod.rs
+++ b/crates/grant/tests/world/mod.rs
@@ -198,7 +198,8 @@
             self.replace_leader();
         }
         let index = self.rng.usize(..self.upstreams.len());
-        if self.chance(trouble.drain) && self.upstreams.len() > 3 {
+        let staying = self.upstreams.values().filter(|upstream| !upstream.is_leaving).count();
+        if self.chance(trouble.drain) && staying > 3 {
             self.drain(index);
         }
         if self.chance(trouble.cut) {
--- a/crates/place/src/norms.rs
+++ b/crates/place/src/norms.rs
@@ -13,6 +13,9 @@
 const SERVICE_MEMORY: f64 = 12.0;
 /// Time after which older reports count half in the load and the failures.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(800);
+/// Difference from the usual time in a slot, as a part of it, from which hosts are
+/// told of an upstream's.
+const USUAL_RANGE: f64 = 0.15;
 /// For which an upstream without reports is kept.
 const NORM_KEPT: Duration = Duration::from_secs(30);
 
@@ -68,16 +71,24 @@
         (state.service_ms > 0.0).then_some(state.service_ms)
     }
 
-    /// Returns what is known of each upstream heard of within `span`, and forgets
-    /// those not heard of for long.
-    pub fn recent(&mut self, now: Moment, span: Duration) -> Vec<(UpstreamId, SeenLoad)> {
+    /// Returns the upstreams, heard of within `span`, whose time in a slot differs
+    /// clearly from the usual one, and forgets those not heard of for long.
+    pub fn unusual(&mut self, now: Moment, span: Duration) -> Vec<(UpstreamId, SeenLoad)> {
         self.upstreams
             .retain(|_, state| now - state.heard_at < NORM_KEPT);
-        let recent = self
+        let measured = self
             .upstreams
-            .iter()
-            .filter(|(_, state)| now - state.heard_at < span);
-        let loads = recent.map(|(id, state)| {
+            .values()
+            .filter(|state| state.service_ms > 0.0);
+        let count = measured.clone().count().max(1) as f64;
+        let usual = measured.map(|state| state.service_ms).sum::<f64>() / count;
+        let is_unusual = |state: &NormState| {
+            now - state.heard_at < span
+                && state.service_ms > 0.0
+                && (state.service_ms / usual - 1.0).abs() > USUAL_RANGE
+        };
+        let unusual = self.upstreams.iter().filter(|(_, state)| is_unusual(state));
+        let loads = unusual.map(|(id, state)| {
             let load = SeenLoad {
                 service_ms: state.service_ms,
                 ..state.load
