--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -67,6 +67,8 @@
 struct TryRecord {
     tried: Vec<UpstreamId>,
     sends: u32,
+    /// The cause of the last failed try.
+    last: Option<Cause>,
     /// The cause of a try that may have run.
     doubt: Option<Cause>,
     /// A failure that an upstream answered with.
@@ -201,6 +203,7 @@
                     record.failure = Some(answer);
                 }
                 Err(cause) => {
+                    record.last = Some(cause);
                     if cause == Cause::UpstreamLost {
                         self.note_loss(order, &entry).await;
                     }
@@ -353,14 +356,28 @@
             return Target::Refused(Refusal::new(Cause::NoOwner).after(SETTLE_RETRY));
         };
         let mut choices = Vec::with_capacity(ids.len());
+        let mut tried = Vec::new();
         for id in ids {
             let Some(known) = view.upstreams.get(id) else {
                 continue;
             };
-            if !known.takes_new_work(now) || record.tried.contains(id) {
+            if !known.takes_new_work(now) {
                 continue;
             }
-            choices.push(choice_of(known, &self.parts.domain, now));
+            let choice = choice_of(known, &self.parts.domain, now);
+            if record.tried.contains(id) {
+                tried.push(choice);
+                continue;
+            }
+            choices.push(choice);
+        }
+        if choices.is_empty() {
+            // One that had no room has none a moment later; one whose answer or
+            // connection was lost may answer the next time.
+            if let Some(cause) = record.last.filter(|cause| *cause == Cause::UpstreamRefused) {
+                return Target::Refused(Refusal::new(cause).after(SETTLE_RETRY));
+            }
+            choices = tried;
         }
         self.place(now, order, &choices, view)
     }
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -23,6 +23,9 @@
 /// Processor from which a host leads without waiting for a stronger one, in
 /// thousandths of a core; control of 300 upstreams takes about a tenth of it.
 const STRONG_MILLICORES: u32 = 130;
+/// Shortest time between two steps of the ledgers, so that replies which come
+/// together lead to one write.
+const STEP_PAUSE: Duration = Duration::from_millis(40);
 /// Key of the lease's row.
 const LEAD_KEY: &str = "lead";
 /// Hosts that look after the lease often; the second covers the loss of the first.
@@ -92,6 +95,7 @@
     sender: Sender<LedgerEvent>,
     polls: u32,
     renew_at: Moment,
+    step_at: Moment,
     crowd: (usize, Moment),
     was_leading: bool,
     /// Version of the entries that all hosts were told of, and when to tell again.
@@ -117,6 +121,7 @@
             sender,
             polls: 0,
             renew_at: Moment::ZERO,
+            step_at: Moment::ZERO,
             crowd: (0, Moment::ZERO),
             was_leading: false,
             spread: (0, None),
@@ -143,6 +148,8 @@
                 self.lead(now).await;
                 poll_at = self.now();
                 self.wait_for_event(TICK).await;
+                let pause = self.step_at - self.now();
+                async_std::task::sleep(pause).await;
                 continue;
             }
             if now >= poll_at && !self.hears_leader() {
@@ -471,6 +478,10 @@
     /// Steps all ledgers and does what they ask for.
     async fn lead(&mut self, now: Moment) {
         self.spread_entries(now).await;
+        if now < self.step_at {
+            return;
+        }
+        self.step_at = now + STEP_PAUSE;
         let mut commits = Vec::new();
         let mut calls = Vec::new();
         for service in self.divided_services() {
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -103,6 +103,16 @@
     }
 }
 
+/// Owners of a service's keys that are newer than what a host knows.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct OwnerNews {
+    pub service: ServiceName,
+    /// Version that the ranges change; 0 when they are all there are.
+    pub base: u64,
+    pub version: u64,
+    pub ranges: OwnerMap,
+}
+
 /// A row of an upstream's entry, as the store has it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct WireEntry(String, u64, Option<String>);
@@ -136,8 +146,8 @@
     pub is_leading: bool,
     pub hosts: u32,
     pub suspects: Vec<Suspect>,
-    /// Owners that the host did not know, by service and version.
-    pub owners: Vec<(ServiceName, u64, OwnerMap)>,
+    /// Owners that the host did not know.
+    pub owners: Vec<OwnerNews>,
     /// Entries that the host did not know, in order of their versions.
     pub entries: Vec<WireEntry>,
     /// What all hosts have seen of the upstreams.
@@ -568,10 +578,8 @@
                     let rows: Vec<TableRow> =
                         reply.entries.into_iter().map(TableRow::from).collect();
                     self.keeper.take_entries(&rows);
-                    for (service, version, map) in reply.owners {
-                        if map.is_whole() {
-                            self.keeper.take_map(service, version, map);
-                        }
+                    for news in reply.owners {
+                        self.keeper.take_news(news);
                     }
                 }
                 Err(error) => debug!(target: "peers", "peer={peer} message ignored: {error}"),
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -2,7 +2,7 @@
 
 use crate::adapter::UserPlatform;
 use crate::metrics::FrontMetrics;
-use crate::reports::PeerBook;
+use crate::reports::{OwnerNews, PeerBook};
 use crate::view::{FrontView, ViewCell};
 use fleet::{FleetTiming, FleetView, KnownUpstream};
 use grant::OwnerMap;
@@ -33,6 +33,8 @@
 const LEADER_SILENCE: Duration = Duration::from_millis(1_100);
 /// For which a feed is held open while the leader is not heard.
 const SILENT_WAIT: Duration = Duration::from_secs(2);
+/// Earlier owners that are kept; hosts that lag further behind get all ranges.
+const MOST_EARLIER: usize = 12;
 /// Between two looks at the owners while no leader is heard.
 const OWNER_POLL: Duration = Duration::from_millis(1_500);
 
@@ -59,6 +61,8 @@
 struct KeeperState {
     fleet: FleetView,
     owner_versions: IndexMap<ServiceName, u64>,
+    /// Earlier owners, from which changes are told.
+    earlier_owners: Vec<(ServiceName, u64, OwnerMap)>,
     /// The newest row of each entry, removed ones too, in order of their versions.
     entry_rows: Vec<TableRow>,
     /// Version up to which the entries are known.
@@ -82,6 +86,7 @@
             state: Mutex::new(KeeperState {
                 fleet: FleetView::new(timing),
                 owner_versions: IndexMap::new(),
+                earlier_owners: Vec::new(),
                 entry_rows: Vec::new(),
                 entries_version: 0,
                 has_entries: false,
@@ -274,10 +279,15 @@
         if version <= *known {
             return;
         }
-        *known = version;
+        let earlier = std::mem::replace(known, version);
         let view = self.cell.load();
         let mut owners = IndexMap::clone(&view.owners);
-        owners.insert(service, map);
+        if let Some(replaced) = owners.insert(service.clone(), map) {
+            if state.earlier_owners.len() >= MOST_EARLIER {
+                state.earlier_owners.remove(0);
+            }
+            state.earlier_owners.push((service, earlier, replaced));
+        }
         self.cell.store(Arc::new(FrontView {
             owners: Arc::new(owners),
             ..FrontView::clone(&view)
@@ -293,25 +303,52 @@
             .collect()
     }
 
-    /// Returns the owners that are newer than the versions given.
-    pub(crate) fn newer_owners(
-        &self,
-        known: &[(ServiceName, u64)],
-    ) -> Vec<(ServiceName, u64, OwnerMap)> {
+    /// Returns what changed of the owners since the versions given.
+    pub(crate) fn newer_owners(&self, known: &[(ServiceName, u64)]) -> Vec<OwnerNews> {
         let view = self.cell.load();
+        let state = self.state.lock();
         let mut newer = Vec::new();
-        for (service, version) in self.owner_versions() {
-            let theirs = known.iter().find(|(name, _)| *name == service);
-            if theirs.is_some_and(|(_, theirs)| *theirs >= version) {
+        for (service, version) in &state.owner_versions {
+            let theirs = known.iter().find(|(name, _)| name == service);
+            let theirs = theirs.map_or(0, |(_, theirs)| *theirs);
+            let Some(map) = view.owners.get(service).filter(|_| theirs < *version) else {
                 continue;
-            }
-            if let Some(map) = view.owners.get(&service) {
-                newer.push((service, version, map.clone()));
-            }
+            };
+            let base = state
+                .earlier_owners
+                .iter()
+                .find(|(name, earlier, _)| name == service && *earlier == theirs);
+            newer.push(OwnerNews {
+                service: service.clone(),
+                base: base.map_or(0, |(_, earlier, _)| *earlier),
+                version: *version,
+                ranges: base
+                    .map_or_else(|| map.clone(), |(_, _, earlier)| map.changes_since(earlier)),
+            });
         }
         newer
     }
 
+    /// Takes in what the leader says of the owners.
+    pub(crate) fn take_news(&self, news: OwnerNews) {
+        let whole = if news.base == 0 {
+            news.ranges
+        } else {
+            let known = self.state.lock().owner_versions.get(&news.service).copied();
+            let view = self.cell.load();
+            match view.owners.get(&news.service) {
+                Some(map) if known == Some(news.base) => map.with_changes(&news.ranges),
+                // The next report says what is known, and the leader starts there.
+                _ => return,
+            }
+        };
+        if !whole.is_whole() {
+            warn!(target: "owners", "service={} news ignored: ranges have gaps", news.service);
+            return;
+        }
+        self.take_map(news.service, news.version, whole);
+    }
+
     /// Notes that the store failed to answer.
     pub(crate) fn note_outage(&self, error: &StoreError) {
         self.metrics.store_failures.inc();
--- a/crates/grant/src/map.rs
+++ b/crates/grant/src/map.rs
@@ -114,6 +114,37 @@
         epochs.max().unwrap_or(0)
     }
 
+    /// Returns the ranges that `earlier` has not.
+    pub fn changes_since(&self, earlier: &Self) -> Self {
+        let changed = self.ranges.iter().filter(|range| {
+            let index = earlier
+                .ranges
+                .partition_point(|known| known.last < range.last);
+            earlier.ranges.get(index) != Some(*range)
+        });
+        Self {
+            ranges: changed.cloned().collect(),
+        }
+    }
+
+    /// Returns this map with some ranges replaced; it is whole if they are the
+    /// changes since this one.
+    pub fn with_changes(&self, changes: &Self) -> Self {
+        let is_kept = |range: &&OwnedRange| {
+            let index = changes
+                .ranges
+                .partition_point(|change| change.last < range.first);
+            changes
+                .ranges
+                .get(index)
+                .is_none_or(|change| range.last < change.first)
+        };
+        let kept = self.ranges.iter().filter(is_kept);
+        let mut ranges: Vec<OwnedRange> = kept.chain(&changes.ranges).cloned().collect();
+        ranges.sort_by_key(|range| range.first);
+        Self { ranges }
+    }
+
     /// Returns whether the ranges cover all keys in order.
     pub fn is_whole(&self) -> bool {
         let mut next = 0;
--- a/crates/grant/tests/world/mod.rs
+++ b/crates/grant/tests/world/mod.rs
@@ -198,7 +198,11 @@
             self.replace_leader();
         }
         let index = self.rng.usize(..self.upstreams.len());
-        let staying = self.upstreams.values().filter(|upstream| !upstream.is_leaving).count();
+        let staying = self
+            .upstreams
+            .values()
+            .filter(|upstream| !upstream.is_leaving)
+            .count();
         if self.chance(trouble.drain) && staying > 3 {
             self.drain(index);
         }
