--- a/crates/grant/src/balance.rs
+++ b/crates/grant/src/balance.rs
@@ -14,6 +14,8 @@
 const MOST_OVER: f64 = 1.25;
 /// Load below its fair share at which an upstream is given keys.
 const LEAST_UNDER: f64 = 0.9;
+/// Load below its fair share at which an upstream is given keys by any other.
+const IDLE_UNDER: f64 = 0.6;
 /// Smallest part of a fair share that is worth a move.
 const LEAST_MOVE: f64 = 0.04;
 /// Least number of moves for balance that one step may make.
@@ -242,6 +244,11 @@
     is_changed
 }
 
+/// Returns how many moves for balance may be made at a time.
+pub(crate) fn most_moves(upstreams: usize) -> usize {
+    MOST_MOVES.max((upstreams as f64 * MOST_MOVING_PART) as usize)
+}
+
 /// Returns whether there is room for more ranges.
 fn may_split(map: &OwnerMap, upstreams: usize) -> bool {
     map.ranges.len() < MOST_RANGES.min(upstreams * RANGES_EACH + MOST_HOT * 2)
@@ -328,7 +335,7 @@
         is_changed |= move_hot_key(map, place, next_epoch);
     }
     let mut table = ShareTable::new(candidates, map, loads, &hot);
-    let most = MOST_MOVES.max((candidates.len() as f64 * MOST_MOVING_PART) as usize);
+    let most = most_moves(candidates.len());
     let mut moves = 0;
     while moves < most {
         let step = move_once(map, &table, loads, &hot, next_epoch);
@@ -376,8 +383,9 @@
     for from in table.busiest() {
         let excess = from.present - from.fair;
         let is_needed = from.present > from.fair * MOST_OVER && to.present < to.fair * LEAST_UNDER;
-        let is_new = to.present <= 0.0 && excess > 0.0;
-        if !is_needed && !is_new {
+        // One that has joined gets its share also when all others have little too much.
+        let is_idle = to.present < to.fair * IDLE_UNDER && excess > 0.0;
+        if !is_needed && !is_idle {
             return None;
         }
         let wanted = excess.min(room) * table.rest;
--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -1,6 +1,6 @@
 //! The leader's state machine: what to write, grant and release.
 
-use crate::balance::{Candidate, assign_orphans, join_neighbours, move_for_balance};
+use crate::balance::{Candidate, assign_orphans, join_neighbours, most_moves, move_for_balance};
 use crate::{GrantTiming, Holder, KeyLoads, OwnedRange, OwnerMap};
 use indexmap::IndexMap;
 use kernel::Moment;
@@ -356,8 +356,10 @@
         };
         let is_valid = |holder: &Holder| candidates.iter().any(|known| known.holder == *holder);
         is_changed |= assign_orphans(&mut planned, candidates, loads, &is_valid, &mut next_epoch);
-        let is_settled = planned.ranges.iter().all(|range| range.is_held);
-        if is_settled && now >= self.balanced_at + self.timing.balance_pause {
+        // Keys of a silent upstream may wait for seconds; the others go on.
+        let moving = planned.ranges.iter().filter(|range| !range.is_held);
+        let has_room = moving.count() <= most_moves(candidates.len()) / 2;
+        if has_room && now >= self.balanced_at + self.timing.balance_pause {
             let is_moved = move_for_balance(&mut planned, candidates, loads, &mut next_epoch);
             if is_moved {
                 self.balanced_at = now;
