--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -98,6 +98,7 @@
     step_at: Moment,
     crowd: (usize, Moment),
     was_leading: bool,
+    was_live: bool,
     /// Version of the entries that all hosts were told of, and when to tell again.
     spread: (u64, Option<Moment>),
 }
@@ -124,6 +125,7 @@
             step_at: Moment::ZERO,
             crowd: (0, Moment::ZERO),
             was_leading: false,
+            was_live: true,
             spread: (0, None),
             parts,
         }
@@ -368,6 +370,7 @@
                     self.ledgers.clear();
                 } else {
                     self.set_long(true);
+                    self.parts.book.set_live(false);
                 }
                 Err(error)
             }
@@ -382,6 +385,8 @@
     ) -> Result<RowStamp, WriteError> {
         let version = self.row_version;
         self.set_long(true);
+        self.parts.book.set_live(false);
+        self.spread_liveness(written.term).await;
         if !self.read_row().await {
             return Err(WriteError::Unknown(why));
         }
@@ -454,6 +459,16 @@
         (write, values)
     }
 
+    /// Tells all hosts at once when this one no longer hears of changed entries, so
+    /// that they turn to the store themselves.
+    async fn spread_liveness(&mut self, term: u64) {
+        let is_live = self.parts.book.is_live();
+        if is_live != self.was_live {
+            self.was_live = is_live;
+            self.parts.link.announce(term, true).await;
+        }
+    }
+
     /// Tells all hosts of changed entries, twice in case a datagram is lost.
     async fn spread_entries(&mut self, now: Moment) {
         let version = self.parts.keeper.entries_version();
@@ -477,6 +492,8 @@
 
     /// Steps all ledgers and does what they ask for.
     async fn lead(&mut self, now: Moment) {
+        let term = self.row.as_ref().map_or(0, |row| row.term);
+        self.spread_liveness(term).await;
         self.spread_entries(now).await;
         if now < self.step_at {
             return;
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -144,6 +144,8 @@
     pub term: u64,
     /// Whether the sender still leads; it says so when it gives up.
     pub is_leading: bool,
+    /// Whether the sender hears of changed entries from the store.
+    pub is_live: bool,
     pub hosts: u32,
     pub suspects: Vec<Suspect>,
     /// Owners that the host did not know.
@@ -196,6 +198,10 @@
     term: u64,
     heard_at: Option<Moment>,
     is_standby: bool,
+    /// Whether this host hears of changed entries from the store.
+    is_live: bool,
+    /// Whether the leader does.
+    is_leader_live: bool,
     /// Term of this host while it leads.
     leading: Option<u64>,
     standbys: Vec<String>,
@@ -221,6 +227,8 @@
                 term: 0,
                 heard_at: None,
                 is_standby: false,
+                is_live: true,
+                is_leader_live: false,
                 leading: None,
                 standbys: Vec::new(),
                 hosts: IndexMap::new(),
@@ -247,6 +255,24 @@
         state.leading.is_some() || state.heard_at.is_some_and(|at| now - at < span)
     }
 
+    /// Returns whether the leader tells this host of changed entries.
+    ///
+    /// A leader that has lost the store may lead on for a while, but knows no more of
+    /// upstreams that leave.
+    pub(crate) fn is_told_entries(&self, span: Duration) -> bool {
+        self.hears_leader(span) && self.state.lock().is_leader_live
+    }
+
+    /// Notes whether this host hears of changed entries from the store.
+    pub(crate) fn set_live(&self, is_live: bool) {
+        self.state.lock().is_live = is_live;
+    }
+
+    /// Returns whether this host hears of changed entries from the store.
+    pub(crate) fn is_live(&self) -> bool {
+        self.state.lock().is_live
+    }
+
     /// Returns whether this host is a standby.
     pub(crate) fn is_standby(&self) -> bool {
         self.state.lock().is_standby
@@ -293,6 +319,7 @@
             return true;
         }
         state.leader = Some(from);
+        state.is_leader_live = reply.is_live;
         state.heard_at = Some(now);
         true
     }
@@ -427,6 +454,7 @@
         LeaderReply {
             term,
             is_leading,
+            is_live: state.is_live,
             hosts,
             suspects: self.suspects(),
             owners: self.keeper.newer_owners(&known.owners),
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -22,7 +22,7 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls, so that a store that is back is noticed well
 /// within the time in which a sheet has to be in force.
-const LONGEST_PAUSE: Duration = Duration::from_millis(700);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_200);
 /// For which changes are gathered before the next call of a busy feed; far below
 /// the time in which a sheet or a leaving upstream has to be heard of.
 const GATHER: Duration = Duration::from_millis(300);
@@ -427,7 +427,7 @@
             after = Some(keeper.entries_version());
             if book.is_leading() || book.is_standby() {
                 wait = FEED_WAIT;
-            } else if book.hears_leader(LEADER_SILENCE) {
+            } else if book.is_told_entries(LEADER_SILENCE) {
                 async_std::task::sleep(LEADER_GATHER).await;
                 continue;
             } else {
@@ -459,6 +459,9 @@
                     info!(target: "store", "table={name} state=regained");
                 }
                 is_lost = false;
+                if table == WatchedTable::Entries {
+                    book.set_live(true);
+                }
                 after = next;
                 pause = FIRST_PAUSE;
                 async_std::task::sleep(gather).await;
@@ -469,6 +472,9 @@
                     warn!(target: "store", "table={name} state=lost error=\"{error}\"");
                 }
                 is_lost = true;
+                if table == WatchedTable::Entries {
+                    book.set_live(false);
+                }
                 async_std::task::sleep(pause.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
             }
