--- a/crates/grant/src/balance.rs
+++ b/crates/grant/src/balance.rs
@@ -35,8 +35,8 @@
 /// is renewed by a call of its own.
 const RANGES_EACH: usize = 3;
 /// Ranges above which none is split at all; the row that holds them is limited to
-/// 64 KB and a range takes about 60 bytes.
-const MOST_RANGES: usize = 800;
+/// 64 KB in base64, and a range on the move takes up to 90 bytes.
+const MOST_RANGES: usize = 480;
 
 /// An upstream that may be given keys.
 #[derive(Clone, Debug, PartialEq)]
@@ -221,7 +221,7 @@
         });
     }
     let mut table = ShareTable::new(candidates, map, loads, &[]);
-    let may_split = may_split(map, candidates.len());
+    let mut room = most_ranges(candidates.len()).saturating_sub(map.ranges.len());
     let mut ranges = Vec::with_capacity(map.ranges.len());
     let mut is_changed = false;
     for range in map.ranges.drain(..) {
@@ -233,12 +233,12 @@
         let is_first = range.owner.is_none() && range.earlier.is_empty();
         let most = if is_first {
             candidates.len().min(MOST_RANGES)
-        } else if may_split {
-            MOST_PIECES
         } else {
-            1
+            MOST_PIECES.min(room + 1)
         };
+        let before = ranges.len();
         cut_orphan(&range, most, &mut table, loads, next_epoch, &mut ranges);
+        room = room.saturating_sub(ranges.len() - before - 1);
     }
     map.ranges = ranges;
     is_changed
@@ -251,7 +251,12 @@
 
 /// Returns whether there is room for more ranges.
 fn may_split(map: &OwnerMap, upstreams: usize) -> bool {
-    map.ranges.len() < MOST_RANGES.min(upstreams * RANGES_EACH + MOST_HOT * 2)
+    map.ranges.len() < most_ranges(upstreams)
+}
+
+/// Returns the number of ranges above which none is split.
+fn most_ranges(upstreams: usize) -> usize {
+    MOST_RANGES.min(upstreams * RANGES_EACH + MOST_HOT * 2)
 }
 
 /// Joins neighbouring ranges that one upstream holds; returns whether any were.
--- a/crates/grant/tests/balance.rs
+++ b/crates/grant/tests/balance.rs
@@ -165,6 +165,36 @@
     assert!(excess["i-new"] > 0.5, "{excess:?}");
 }
 
+#[test]
+fn step_losses_in_a_large_service_keep_the_row_small() {
+    // The store's limit of 64 KB is on the base64 of the row.
+    const MOST_ROW_BYTES: usize = 48 << 10;
+    let mut upstreams = candidates(&[1.0; 254]);
+    let mut deal = Deal::new();
+    let mut rng = fastrand::Rng::with_seed(9);
+    for round in 0..30 {
+        let mut loads = KeyLoads::default();
+        for _ in 0..200 {
+            loads.note(rng.u16(..), 1_000.0);
+        }
+        deal.run(&upstreams, &loads, Duration::from_secs(2));
+        for number in 0..30 {
+            let index = rng.usize(..upstreams.len());
+            upstreams[index] = {
+                let name = format!("i-{round:04x}{number:06x}");
+                Candidate::new(&name, 1_796_382_157_487, 4.0)
+            };
+        }
+        deal.run(&upstreams, &loads, Duration::from_millis(100));
+        let row = serde_json::to_vec(deal.ledger.map()).expect("encoded");
+        assert!(
+            row.len() < MOST_ROW_BYTES,
+            "{} bytes in round {round}",
+            row.len()
+        );
+    }
+}
+
 #[test]
 fn with_changes_rebuilds_every_later_map() {
     let upstreams = candidates(&[0.7, 1.6, 1.0, 1.0]);
