Release keys under every epoch that they were granted with

Cause, as far as it is proved: joined ranges got one new epoch and the old ones were forgotten; if the grant of the new one had not arrived when the keys moved, a release by it left the grants under the old epochs in force, where an upstream takes a release for its own epoch only.

--- a/crates/grant/src/balance.rs
+++ b/crates/grant/src/balance.rs
@@ -266,6 +266,7 @@
     let mut joined: Vec<OwnedRange> = Vec::with_capacity(map.ranges.len());
     let mut fresh = Vec::new();
     for range in map.ranges.drain(..) {
+        let joined_count = joined.len();
         let Some(before) = joined.last_mut() else {
             joined.push(range);
             continue;
@@ -275,9 +276,14 @@
             joined.push(range);
             continue;
         }
+        // The grants under the old epochs stay in force until they lapse.
+        if fresh.last() != Some(&(joined_count - 1)) {
+            before.earlier = before.possible_holders();
+        }
+        before.earlier.extend(range.possible_holders());
         before.last = range.last;
-        if fresh.last() != Some(&(joined.len() - 1)) {
-            fresh.push(joined.len() - 1);
+        if fresh.last() != Some(&(joined_count - 1)) {
+            fresh.push(joined_count - 1);
         }
     }
     for index in &fresh {
--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -100,6 +100,8 @@
     phase: RangePhase,
     due: Moment,
     call: Option<u64>,
+    /// When the owner was first known to hold it under this epoch.
+    granted_at: Option<Moment>,
 }
 
 /// A call without a reply.
@@ -288,6 +290,7 @@
             (CallReply::Granted, RangePhase::Granting(_) | RangePhase::Holding) => {
                 work.phase = RangePhase::Holding;
                 work.due = sent_at + self.timing.renew;
+                work.granted_at.get_or_insert(now);
             }
             (CallReply::Superseded, RangePhase::Granting(_) | RangePhase::Holding) => {
                 self.lose_range(&key);
@@ -337,7 +340,11 @@
             let phase = self.work.get(&key).map(|work| &work.phase);
             if phase == Some(&RangePhase::Holding) && !range.is_held {
                 range.is_held = true;
-                range.earlier.clear();
+                // The owner's own earlier grants stay in force until they lapse.
+                let owner = range.owner.clone();
+                range
+                    .earlier
+                    .retain(|(holder, _)| Some(holder) == owner.as_ref());
                 is_changed = true;
             }
             if phase.is_none() && range.owner.is_some() {
@@ -373,10 +380,23 @@
         if !is_changed {
             return None;
         }
+        self.forget_lapsed(now, &mut planned);
         self.pending = Some(planned.clone());
         Some(planned)
     }
 
+    /// Drops earlier grants of owners that can't be in force any more.
+    fn forget_lapsed(&self, now: Moment, planned: &mut OwnerMap) {
+        let bound = GrantTiming::bound(self.timing.long_hold);
+        for range in &mut planned.ranges {
+            let key = (range.first, range.last, range.epoch);
+            let granted_at = self.work.get(&key).and_then(|work| work.granted_at);
+            if range.is_held && granted_at.is_some_and(|at| at + bound <= now) {
+                range.earlier.clear();
+            }
+        }
+    }
+
     /// Takes a committed row over and carries on with what it kept.
     fn set_map(&mut self, now: Moment, map: OwnerMap) {
         let mut work = IndexMap::with_capacity(map.ranges.len());
@@ -408,6 +428,7 @@
             phase,
             due: whole.map_or(now, |(_, whole)| whole.due),
             call: None,
+            granted_at: whole.and_then(|(_, whole)| whole.granted_at),
         }
     }
 
--- a/crates/grant/tests/world/mod.rs
+++ b/crates/grant/tests/world/mod.rs
@@ -291,7 +291,7 @@
             CallKind::Release => {
                 let mut kept = Vec::new();
                 for lease in std::mem::take(&mut upstream.leases) {
-                    if lease.epoch > call.epoch
+                    if lease.epoch != call.epoch
                         || lease.last < call.first
                         || call.last < lease.first
                     {
