--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -196,6 +196,8 @@
     }
 
     fn publish_sheet(&self, sheet: RouteSheet) {
+        // Views are built under the lock: two at a time would undo one another.
+        let _state = self.state.lock();
         let view = self.cell.load();
         let known = view.routes.version();
         if sheet.version <= known && view.sheet.is_some() {
