Read owners and their versions under one lock

The view was read before the lock that guards the versions, so a map could be told under the version of a later one.

--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -307,8 +307,9 @@
 
     /// Returns what changed of the owners since the versions given.
     pub(crate) fn newer_owners(&self, known: &[(ServiceName, u64)]) -> Vec<OwnerNews> {
-        let view = self.cell.load();
+        // The lock comes first, so that each map is the one of its version.
         let state = self.state.lock();
+        let view = self.cell.load();
         let mut newer = Vec::new();
         for (service, version) in &state.owner_versions {
             let theirs = known.iter().find(|(name, _)| name == service);
