--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -73,31 +73,23 @@
     pub entries: u64,
 }
 
-/// What was seen of an upstream: its id, requests, tenths of milliseconds in a slot,
-/// failures in thousandths, and hundredths of requests at a time.
+/// What was seen of an upstream: its id, requests, and tenths of milliseconds in a
+/// slot.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct WireLoad(UpstreamId, u32, u32, u32, u32);
+pub(crate) struct WireLoad(UpstreamId, u32, u32);
 
 impl From<(UpstreamId, SeenLoad)> for WireLoad {
     fn from((id, load): (UpstreamId, SeenLoad)) -> Self {
-        Self(
-            id,
-            load.requests,
-            (load.service_ms * 10.0) as u32,
-            (load.failures * 1_000.0) as u32,
-            (load.crowd * 100.0) as u32,
-        )
+        Self(id, load.requests, (load.service_ms * 10.0) as u32)
     }
 }
 
 impl From<WireLoad> for (UpstreamId, SeenLoad) {
     fn from(wire: WireLoad) -> Self {
-        let WireLoad(id, requests, service, failures, crowd) = wire;
+        let WireLoad(id, requests, service) = wire;
         let load = SeenLoad {
             requests,
             service_ms: f64::from(service) / 10.0,
-            failures: f64::from(failures) / 1_000.0,
-            crowd: f64::from(crowd) / 100.0,
         };
         (id, load)
     }
--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -206,11 +206,6 @@
         self.is_long = is_long;
     }
 
-    /// Notes that a run of an upstream has ended.
-    pub fn note_ended(&mut self, holder: &Holder) {
-        self.holders.entry(holder.clone()).or_default().has_ended = true;
-    }
-
     /// Returns what to write and which calls to make now.
     pub fn step(&mut self, now: Moment, candidates: &[Candidate], loads: &KeyLoads) -> LedgerStep {
         let usable = self.usable(candidates);
--- a/crates/place/src/norms.rs
+++ b/crates/place/src/norms.rs
@@ -11,8 +11,6 @@
 
 /// Requests after which older ones count half in the time in a slot.
 const SERVICE_MEMORY: f64 = 12.0;
-/// Time after which older reports count half in the load and the failures.
-const LOAD_HALF_LIFE: Duration = Duration::from_millis(800);
 /// Difference from the usual time in a slot, as a part of it, from which hosts are
 /// told of an upstream's.
 const USUAL_RANGE: f64 = 0.15;
@@ -22,8 +20,8 @@
 #[derive(Clone, Copy, Debug)]
 struct NormState {
     heard_at: Moment,
+    requests: u32,
     service_ms: f64,
-    load: SeenLoad,
 }
 
 /// What all hosts together have seen of the upstreams.
@@ -35,17 +33,15 @@
 impl LoadNorms {
     /// Takes in what one host has seen of an upstream.
     pub fn take(&mut self, now: Moment, id: &UpstreamId, seen: SeenLoad) {
-        let is_sound = [seen.service_ms, seen.failures, seen.crowd]
-            .iter()
-            .all(|number| number.is_finite() && *number >= 0.0);
+        let is_sound = seen.service_ms.is_finite() && seen.service_ms >= 0.0;
         if !is_sound || seen.requests == 0 {
             return;
         }
         let Some(state) = self.upstreams.get_mut(id) else {
             let state = NormState {
                 heard_at: now,
+                requests: seen.requests,
                 service_ms: seen.service_ms,
-                load: seen,
             };
             self.upstreams.insert(id.clone(), state);
             return;
@@ -57,11 +53,6 @@
             }
             state.service_ms += weight * (seen.service_ms - state.service_ms);
         }
-        // Hosts report one after the other; each moves the load a little.
-        let elapsed = (now - state.heard_at).max(Duration::from_millis(40));
-        let fresh = 1.0 - 0.5_f64.powf(elapsed.as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64());
-        state.load.crowd += fresh * (seen.crowd - state.load.crowd);
-        state.load.failures += fresh * (seen.failures - state.load.failures);
         state.heard_at = now;
     }
 
@@ -90,8 +81,8 @@
         let unusual = self.upstreams.iter().filter(|(_, state)| is_unusual(state));
         let loads = unusual.map(|(id, state)| {
             let load = SeenLoad {
+                requests: state.requests,
                 service_ms: state.service_ms,
-                ..state.load
             };
             (id.clone(), load)
         });
--- a/crates/place/src/state.rs
+++ b/crates/place/src/state.rs
@@ -50,10 +50,6 @@
     pub requests: u32,
     /// Mean time in a slot, in milliseconds; 0 without an answered request.
     pub service_ms: f64,
-    /// Share of requests that failed.
-    pub failures: f64,
-    /// Mean number of requests at the upstream, those of all hosts together.
-    pub crowd: f64,
 }
 
 /// How a request at an upstream ended.
@@ -96,9 +92,6 @@
     requests: u32,
     answered: u32,
     service_ms: f64,
-    failures: u32,
-    reports: u32,
-    crowd: f64,
 }
 
 impl Default for PlaceState {
@@ -136,8 +129,6 @@
         Some(SeenLoad {
             requests: seen.requests,
             service_ms: seen.service_ms / f64::from(seen.answered.max(1)),
-            failures: f64::from(seen.failures) / f64::from(seen.requests),
-            crowd: seen.crowd / f64::from(seen.reports.max(1)),
         })
     }
 
@@ -200,8 +191,6 @@
         self.own = self.own.saturating_sub(1);
         self.seen.requests += 1;
         if let Some(report) = report {
-            self.seen.reports += 1;
-            self.seen.crowd += f64::from(report.running + report.waiting);
             let all = f64::from(report.running + report.waiting);
             let others = (all - f64::from(self.own)).max(0.0);
             self.others =
@@ -213,14 +202,8 @@
                 self.note_service(now, sent);
                 self.note_reached(0.0);
             }
-            WorkEnd::Failed => {
-                self.seen.failures += 1;
-                self.note_reached(1.0);
-            }
-            WorkEnd::Lost => {
-                self.seen.failures += 1;
-                self.failures += FAILURE_WEIGHT * (1.0 - self.failures);
-            }
+            WorkEnd::Failed => self.note_reached(1.0),
+            WorkEnd::Lost => self.failures += FAILURE_WEIGHT * (1.0 - self.failures),
             WorkEnd::Full => self.full_until = now + FULL_PAUSE,
             WorkEnd::Unreachable => {
                 self.paused_until = now + self.pause;
