--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -1,8 +1,7 @@
 //! Kept connections to upstreams.
 
 use async_std::net::TcpStream;
-use futures::FutureExt;
-use h1::{Connection, DialError, dial};
+use h1::{Connection, DialError, dial, is_quiet};
 use indexmap::IndexMap;
 use kernel::{Moment, UpstreamId};
 use parking_lot::Mutex;
@@ -104,12 +103,6 @@
     }
 }
 
-/// Returns whether a connection has neither been closed nor brought anything.
-fn is_quiet(stream: &TcpStream) -> bool {
-    let mut byte = [0_u8; 1];
-    stream.peek(&mut byte).now_or_never().is_none()
-}
-
 /// Parses the time of a `Keep-Alive` header.
 fn keep_time(text: &str) -> Option<Duration> {
     for part in text.split(',') {
--- a/crates/gate/src/pool.rs
+++ b/crates/gate/src/pool.rs
@@ -2,7 +2,6 @@
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
-use futures::FutureExt;
 use h1::{Connection, HeadLimits, HeaderList, encode_request_head};
 use kernel::{Clock, Moment};
 use parking_lot::Mutex;
@@ -130,11 +129,7 @@
 
 /// Returns whether the peer has neither closed nor sent anything unasked.
 fn is_quiet(connection: &Connection<TcpStream>) -> bool {
-    if connection.has_leftover() {
-        return false;
-    }
-    let mut byte = [0_u8; 1];
-    connection.stream().peek(&mut byte).now_or_never().is_none()
+    !connection.has_leftover() && h1::is_quiet(connection.stream())
 }
 
 /// Asks for `path` and returns whether the whole answer came.
--- a/crates/h1/src/dial.rs
+++ b/crates/h1/src/dial.rs
@@ -1,6 +1,7 @@
 //! Connections whose dead peers are noticed.
 
 use async_std::net::TcpStream;
+use futures::FutureExt;
 use rustix::net::sockopt;
 use std::fmt;
 use std::io;
@@ -67,6 +68,13 @@
     Ok(())
 }
 
+/// Returns whether a kept connection has neither been closed nor brought anything.
+pub fn is_quiet(stream: &TcpStream) -> bool {
+    let mut byte = [0_u8; 1];
+    // A pending read means that the peer has neither closed nor sent anything.
+    stream.peek(&mut byte).now_or_never().is_none()
+}
+
 /// Makes the connection end with a reset, so that bytes under way are dropped.
 pub fn reset(stream: &TcpStream) {
     // A connection that has failed already needs no reset.
--- a/crates/trial/src/caller.rs
+++ b/crates/trial/src/caller.rs
@@ -103,7 +103,7 @@
             let Some(kept) = kept else {
                 break;
             };
-            if is_open(&kept) {
+            if h1::is_quiet(kept.stream()) {
                 return Ok(kept);
             }
         }
@@ -125,12 +125,6 @@
     }
 }
 
-fn is_open(connection: &Connection<TcpStream>) -> bool {
-    use futures::FutureExt;
-    let mut byte = [0_u8; 1];
-    connection.stream().peek(&mut byte).now_or_never().is_none()
-}
-
 /// Returns the outcome and whether the connection may be used again.
 async fn exchange(
     connection: &mut Connection<TcpStream>,
