Build each view in one place; one list of hop-by-hop headers; no test port twice

Views were built and stored in four places, each of which had to hold the lock by itself. Tests drew ports at random and could draw one twice before its process listened.

--- a/crates/ebonytrestle/tests/processes.rs
+++ b/crates/ebonytrestle/tests/processes.rs
@@ -10,8 +10,11 @@
 use owner::{HostAddress, PlatformHost, PlatformUpstream};
 use rustix::process::{Pid, Signal, kill_process};
 use sheet::SheetDigest;
+use std::ops::Range;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::LazyLock;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 use store::JsonClient;
 
@@ -70,9 +73,20 @@
     truth: TruthLog,
 }
 
+/// Ports that tests may use, and where each run of the tests starts among them.
+const PORTS: Range<u16> = 10_000..17_900;
+static FIRST_PORT: LazyLock<u16> = LazyLock::new(|| fastrand::u16(..PORTS.end - PORTS.start));
+static PORTS_GIVEN: AtomicU16 = AtomicU16::new(0);
+
+/// Returns an address that is free and that no other test of this run is given.
+///
+/// The process that is to listen there does so later, so a port drawn at random
+/// could be drawn again meanwhile.
 async fn free_address() -> String {
     for _ in 0..200 {
-        let address = format!("127.0.0.1:{}", fastrand::u16(10_000..17_900));
+        let given = PORTS_GIVEN.fetch_add(1, Ordering::SeqCst);
+        let offset = (*FIRST_PORT + given) % (PORTS.end - PORTS.start);
+        let address = format!("127.0.0.1:{}", PORTS.start + offset);
         if TcpListener::bind(address.as_str()).await.is_ok() {
             return address;
         }
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -3,22 +3,9 @@
 use h1::{HeaderList, encode_response_head};
 use kernel::{Refusal, Verdict};
 
-/// Headers that concern one connection only.
-const HOP_HEADERS: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// Returns whether a header concerns one connection only.
 pub(crate) fn is_hop_header(name: &str) -> bool {
-    HOP_HEADERS.contains(&name)
+    h1::is_hop_header(name) || name == "proxy-connection"
 }
 
 /// An upstream's whole answer.
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -145,7 +145,7 @@
         }
         rows.sort_by_key(|row| row.version);
         state.entry_rows = rows;
-        self.publish_fleet(&state.fleet);
+        self.publish_fleet(&state);
     }
 
     /// Returns the version up to which the entries are known.
@@ -196,8 +196,7 @@
     }
 
     fn publish_sheet(&self, sheet: RouteSheet) {
-        // Views are built under the lock: two at a time would undo one another.
-        let _state = self.state.lock();
+        let state = self.state.lock();
         let view = self.cell.load();
         let known = view.routes.version();
         if sheet.version <= known && view.sheet.is_some() {
@@ -210,11 +209,10 @@
         );
         self.metrics.sheet_version.set(sheet.version.cast_signed());
         let routes = Arc::new(PrefixTable::compile(&sheet, &view.routes));
-        self.cell.store(Arc::new(FrontView {
-            routes,
-            sheet: Some(Arc::new(sheet)),
-            ..FrontView::clone(&view)
-        }));
+        self.publish(&state, |view| {
+            view.routes = routes;
+            view.sheet = Some(Arc::new(sheet));
+        });
     }
 
     /// Takes in rows of entries, in order of their versions; those that are known
@@ -240,13 +238,14 @@
                 .map(|bytes| self.platform.decode_entry(&id, bytes));
             match decoded {
                 Some(Ok(entry)) => {
-                    let line = format!(
+                    if !state.fleet.apply(now, entry.clone()) {
+                        continue;
+                    }
+                    info!(
+                        target: "fleet",
                         "upstream={id} service={} address={} state={:?} run={} row={}",
                         entry.service, entry.address, entry.state, entry.started_at_ms, row.version,
                     );
-                    if state.fleet.apply(now, entry) {
-                        info!(target: "fleet", "{line}");
-                    }
                 }
                 Some(Err(error)) => {
                     warn!(target: "fleet", "upstream={id} entry ignored: {error}");
@@ -258,7 +257,7 @@
                 }
             }
         }
-        self.publish_fleet(&state.fleet);
+        self.publish_fleet(&state);
     }
 
     /// Takes in a row of owners, unless a newer one is known.
@@ -290,10 +289,7 @@
             }
             state.earlier_owners.push((service, earlier, replaced));
         }
-        self.cell.store(Arc::new(FrontView {
-            owners: Arc::new(owners),
-            ..FrontView::clone(&view)
-        }));
+        self.publish(&state, |view| view.owners = Arc::new(owners));
     }
 
     /// Returns the versions of the owners that are known.
@@ -337,7 +333,8 @@
         let whole = if news.base == 0 {
             news.ranges
         } else {
-            let known = self.state.lock().owner_versions.get(&news.service).copied();
+            let state = self.state.lock();
+            let known = state.owner_versions.get(&news.service).copied();
             let view = self.cell.load();
             match view.owners.get(&news.service) {
                 Some(map) if known == Some(news.base) => map.with_changes(&news.ranges),
@@ -370,15 +367,25 @@
             info!(target: "fleet", "upstream={id} state=gone");
         }
         if !gone.is_empty() {
-            self.publish_fleet(&state.fleet);
+            self.publish_fleet(&state);
         }
         !gone.is_empty()
     }
 
-    fn publish_fleet(&self, fleet: &FleetView) {
+    /// Publishes a view that differs from the present one by a change.
+    ///
+    /// The caller holds the lock of `state`: of two views that are built at a time,
+    /// one would undo the other.
+    fn publish(&self, _state: &KeeperState, change: impl FnOnce(&mut FrontView)) {
+        let mut view = FrontView::clone(&self.cell.load());
+        change(&mut view);
+        self.cell.store(Arc::new(view));
+    }
+
+    fn publish_fleet(&self, state: &KeeperState) {
         let mut upstreams: IndexMap<UpstreamId, KnownUpstream> = IndexMap::new();
         let mut by_service: IndexMap<ServiceName, Vec<UpstreamId>> = IndexMap::new();
-        for known in fleet.iter() {
+        for known in state.fleet.iter() {
             let id = known.entry.id.clone();
             by_service
                 .entry(known.entry.service.clone())
@@ -386,12 +393,10 @@
                 .push(id.clone());
             upstreams.insert(id, known.clone());
         }
-        let view = self.cell.load();
-        self.cell.store(Arc::new(FrontView {
-            upstreams: Arc::new(upstreams),
-            by_service: Arc::new(by_service),
-            ..FrontView::clone(&view)
-        }));
+        self.publish(state, |view| {
+            view.upstreams = Arc::new(upstreams);
+            view.by_service = Arc::new(by_service);
+        });
     }
 }
 
--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -48,19 +48,7 @@
 
 /// Returns whether a header line concerns one connection only, or is internal.
 pub(crate) fn is_hop_header(name: &str) -> bool {
-    matches!(
-        name,
-        "connection"
-            | "keep-alive"
-            | "proxy-authenticate"
-            | "proxy-authorization"
-            | "te"
-            | "trailer"
-            | "transfer-encoding"
-            | "upgrade"
-            | "content-length"
-            | "expect"
-    )
+    h1::is_hop_header(name) || matches!(name, "content-length" | "expect")
 }
 
 /// Returns whether a header line is the system's own and not for callers to set.
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -110,6 +110,22 @@
     Final(ResponseHead),
 }
 
+/// Returns whether a header line concerns one connection only; `name` must be in
+/// lower case.
+pub fn is_hop_header(name: &str) -> bool {
+    matches!(
+        name,
+        "connection"
+            | "keep-alive"
+            | "proxy-authenticate"
+            | "proxy-authorization"
+            | "te"
+            | "trailer"
+            | "transfer-encoding"
+            | "upgrade"
+    )
+}
+
 /// Parses a request's head, which must be complete in `bytes`.
 pub(crate) fn parse_request(bytes: &[u8], limits: &HeadLimits) -> Result<RequestHead> {
     let mut lines = vec![httparse::EMPTY_HEADER; limits.headers];
