--- /dev/null
+++ b/crates/front/src/message.rs
@@ -0,0 +1,189 @@
+//! Messages between hosts and the leader, and their encoding.
+//!
+//! A message is one datagram: a byte that names the format, then the fields in
+//! `postcard`'s encoding. Upstreams are named once in a message of owners, as names
+//! would be most of its bytes.
+
+use grant::WireOwners;
+use kernel::{DomainName, ServiceName, UpstreamId};
+use place::SeenLoad;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::net::SocketAddr;
+use store::TableRow;
+
+/// Largest datagram, in bytes; the protocol's limit is 64 KB. Owners that don't fit
+/// are read from the store.
+pub(crate) const DATAGRAM_BYTES: usize = 60 << 10;
+/// First byte of every message; another one is another format, of a version of the
+/// program that is being replaced.
+const FORMAT: u8 = 2;
+
+/// A datagram that holds no message.
+#[derive(Debug)]
+pub(crate) enum MessageError {
+    /// It is of another format.
+    Format(Option<u8>),
+    /// Its fields can't be read or written.
+    Fields(postcard::Error),
+    /// It is larger than a datagram may be, in bytes.
+    TooLarge(usize),
+}
+
+impl fmt::Display for MessageError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Format(format) => write!(f, "unknown format {format:?}"),
+            Self::Fields(error) => write!(f, "fields: {error}"),
+            Self::TooLarge(bytes) => write!(f, "{bytes} bytes don't fit a datagram"),
+        }
+    }
+}
+
+impl std::error::Error for MessageError {}
+
+impl PeerMessage {
+    /// Encodes the message as a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not fit.
+    pub(crate) fn encode(&self) -> Result<Vec<u8>, MessageError> {
+        let bytes = postcard::to_extend(self, vec![FORMAT]).map_err(MessageError::Fields)?;
+        if bytes.len() > DATAGRAM_BYTES {
+            return Err(MessageError::TooLarge(bytes.len()));
+        }
+        Ok(bytes)
+    }
+
+    /// Decodes a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it holds no message of this format.
+    pub(crate) fn decode(bytes: &[u8]) -> Result<Self, MessageError> {
+        match bytes.split_first() {
+            Some((&FORMAT, fields)) => postcard::from_bytes(fields).map_err(MessageError::Fields),
+            other => Err(MessageError::Format(other.map(|(format, _)| *format))),
+        }
+    }
+}
+
+/// A message between a host and the leader.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum PeerMessage {
+    /// A host's load since its last report.
+    Report(HostReport),
+    /// The leader's reply.
+    Reply(LeaderReply),
+}
+
+/// What a host reports.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct HostReport {
+    pub host: String,
+    pub domain: DomainName,
+    pub millicores: u32,
+    /// Requests by service and key.
+    pub loads: Vec<(ServiceName, Vec<(u16, f32)>)>,
+    pub suspects: Vec<Suspect>,
+    /// What the host has seen of upstreams since its last report.
+    pub seen: Vec<WireLoad>,
+    /// What the host knows.
+    pub known: KnownState,
+}
+
+/// What a host knows of the store's rows.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct KnownState {
+    /// Versions of the owners, by service.
+    pub owners: Vec<(ServiceName, u64)>,
+    /// Version up to which the upstreams' entries are known.
+    pub entries: u64,
+}
+
+/// What was seen of an upstream: its id, requests, and tenths of milliseconds in a
+/// slot.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct WireLoad(UpstreamId, u32, u32);
+
+impl From<(UpstreamId, SeenLoad)> for WireLoad {
+    fn from((id, load): (UpstreamId, SeenLoad)) -> Self {
+        Self(id, load.requests, (load.service_ms * 10.0) as u32)
+    }
+}
+
+impl From<WireLoad> for (UpstreamId, SeenLoad) {
+    fn from(wire: WireLoad) -> Self {
+        let WireLoad(id, requests, service) = wire;
+        let load = SeenLoad {
+            requests,
+            service_ms: f64::from(service) / 10.0,
+        };
+        (id, load)
+    }
+}
+
+/// Owners of a service's keys that are newer than what a host knows.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct OwnerNews {
+    pub service: ServiceName,
+    /// Version that the ranges change; 0 when they are all there are.
+    pub base: u64,
+    pub version: u64,
+    pub ranges: WireOwners,
+}
+
+/// A row of an upstream's entry, as the store has it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct WireEntry(String, u64, Option<String>);
+
+impl From<TableRow> for WireEntry {
+    fn from(row: TableRow) -> Self {
+        // Entries are texts; one that isn't can't be decoded by anybody.
+        let value = row
+            .value
+            .map(|bytes| String::from_utf8_lossy(&bytes).into_owned());
+        Self(row.key, row.version, value)
+    }
+}
+
+impl From<WireEntry> for TableRow {
+    fn from(WireEntry(key, version, value): WireEntry) -> Self {
+        Self {
+            key,
+            value: value.map(String::into_bytes),
+            version,
+        }
+    }
+}
+
+/// What the leader tells every host.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct LeaderReply {
+    /// The leader's term; a smaller one is out of date.
+    pub term: u64,
+    /// Whether the sender still leads; it says so when it gives up.
+    pub is_leading: bool,
+    /// Whether the sender hears of changed entries from the store.
+    pub is_live: bool,
+    pub hosts: u32,
+    pub suspects: Vec<Suspect>,
+    /// Owners that the host did not know.
+    pub owners: Vec<OwnerNews>,
+    /// Entries that the host did not know, in order of their versions.
+    pub entries: Vec<WireEntry>,
+    /// What all hosts have seen of the upstreams.
+    pub norms: Vec<WireLoad>,
+    pub standbys: Vec<String>,
+    /// All hosts' addresses, for a standby that may have to lead.
+    pub peers: Vec<SocketAddr>,
+}
+
+/// A request that upstreams ended with.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Suspect {
+    pub fingerprint: u64,
+    pub losses: u32,
+    pub remaining_ms: u64,
+}
--- /dev/null
+++ b/crates/front/src/peers.rs
@@ -0,0 +1,292 @@
+//! What the leader knows of the other hosts, and all of the leader.
+
+use crate::message::{HostReport, KnownState, LeaderReply, WireLoad};
+use grant::KeyLoads;
+use indexmap::IndexMap;
+use kernel::{Clock, DomainName, Moment, ServiceName, UpstreamId};
+use parking_lot::Mutex;
+use place::{LoadNorms, SeenLoad};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// For which a host counts after its last report.
+const HOST_KEPT: Duration = Duration::from_secs(5);
+/// Most speeds of upstreams in one reply.
+const MOST_NORMS: usize = 40;
+/// Age at which the list of unusual upstreams is made anew; hosts report as often.
+const NORMS_PERIOD: Duration = Duration::from_millis(700);
+/// Time in which the load on keys fades by half; long enough to even out chance,
+/// short enough to follow a key that becomes hot.
+const LOAD_HALF_LIFE: Duration = Duration::from_secs(3);
+/// Least time between two fadings of the load on keys.
+const FADE_PERIOD: Duration = Duration::from_millis(175);
+
+/// A host as the leader sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerHost {
+    pub name: String,
+    pub domain: DomainName,
+    pub millicores: u32,
+}
+
+/// A host that reported.
+#[derive(Clone, Debug)]
+struct KnownHost {
+    heard_at: Moment,
+    domain: DomainName,
+    millicores: u32,
+    address: SocketAddr,
+    known: KnownState,
+}
+
+/// What the leader knows of the other hosts, and all of the leader.
+#[derive(Debug)]
+pub(crate) struct PeerBook {
+    clock: Arc<dyn Clock>,
+    state: Mutex<PeerState>,
+}
+
+#[derive(Debug)]
+struct PeerState {
+    leader: Option<SocketAddr>,
+    term: u64,
+    heard_at: Option<Moment>,
+    is_standby: bool,
+    /// Whether this host hears of changed entries from the store.
+    is_live: bool,
+    /// Whether the leader does.
+    is_leader_live: bool,
+    /// Term of this host while it leads.
+    leading: Option<u64>,
+    standbys: Vec<String>,
+    hosts: IndexMap<String, KnownHost>,
+    /// Addresses of all hosts, as the leader told this standby.
+    peers: Vec<SocketAddr>,
+    loads: IndexMap<ServiceName, KeyLoads>,
+    norms: LoadNorms,
+    /// Upstreams whose speed is unusual, since when, and where to go on.
+    odd: Vec<(UpstreamId, SeenLoad)>,
+    odd_at: Moment,
+    odd_from: usize,
+    faded_at: Moment,
+}
+
+impl PeerBook {
+    pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
+        let faded_at = clock.now();
+        Self {
+            clock,
+            state: Mutex::new(PeerState {
+                leader: None,
+                term: 0,
+                heard_at: None,
+                is_standby: false,
+                is_live: true,
+                is_leader_live: false,
+                leading: None,
+                standbys: Vec::new(),
+                hosts: IndexMap::new(),
+                peers: Vec::new(),
+                loads: IndexMap::new(),
+                norms: LoadNorms::default(),
+                odd: Vec::new(),
+                odd_at: Moment::ZERO,
+                odd_from: 0,
+                faded_at,
+            }),
+        }
+    }
+
+    /// Notes where the leader takes reports.
+    pub(crate) fn set_leader(&self, leader: Option<SocketAddr>) {
+        self.state.lock().leader = leader;
+    }
+
+    /// Returns whether this host leads, or has heard the leader within `span`.
+    pub(crate) fn hears_leader(&self, span: Duration) -> bool {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        state.leading.is_some() || state.heard_at.is_some_and(|at| now - at < span)
+    }
+
+    /// Returns whether the leader tells this host of changed entries.
+    ///
+    /// A leader that has lost the store may lead on for a while, but knows no more of
+    /// upstreams that leave.
+    pub(crate) fn is_told_entries(&self, span: Duration) -> bool {
+        self.hears_leader(span) && self.state.lock().is_leader_live
+    }
+
+    /// Notes whether this host hears of changed entries from the store.
+    pub(crate) fn set_live(&self, is_live: bool) {
+        self.state.lock().is_live = is_live;
+    }
+
+    /// Returns whether this host hears of changed entries from the store.
+    pub(crate) fn is_live(&self) -> bool {
+        self.state.lock().is_live
+    }
+
+    /// Returns whether this host is a standby.
+    pub(crate) fn is_standby(&self) -> bool {
+        self.state.lock().is_standby
+    }
+
+    /// Notes whether this host leads, and which hosts are its standbys.
+    pub(crate) fn set_leading(&self, leading: Option<u64>, standbys: &[String]) {
+        let mut state = self.state.lock();
+        state.leading = leading;
+        state.standbys = standbys.to_vec();
+    }
+
+    /// Returns the hosts that reported lately.
+    pub(crate) fn hosts(&self) -> Vec<PeerHost> {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        state
+            .hosts
+            .retain(|_, host| now - host.heard_at < HOST_KEPT);
+        let hosts = state.hosts.iter();
+        let hosts = hosts.map(|(name, host)| PeerHost {
+            name: name.clone(),
+            domain: host.domain.clone(),
+            millicores: host.millicores,
+        });
+        hosts.collect()
+    }
+
+    /// Takes in what the leader says; returns whether it is up to date.
+    pub(crate) fn take_reply(&self, reply: &LeaderReply, from: SocketAddr, own: &str) -> bool {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        if reply.term < state.term || state.leading.is_some_and(|term| term >= reply.term) {
+            return false;
+        }
+        state.term = reply.term;
+        state.is_standby = reply.standbys.iter().any(|name| name == own);
+        if !reply.peers.is_empty() {
+            state.peers.clone_from(&reply.peers);
+        }
+        if !reply.is_leading {
+            // The next look at the store finds who leads now.
+            state.heard_at = None;
+            return true;
+        }
+        state.leader = Some(from);
+        state.is_leader_live = reply.is_live;
+        state.heard_at = Some(now);
+        true
+    }
+
+    /// Returns the load on a service's keys.
+    pub(crate) fn loads(&self, service: &ServiceName) -> KeyLoads {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        let elapsed = now - state.faded_at;
+        if elapsed > FADE_PERIOD {
+            for loads in state.loads.values_mut() {
+                loads.fade(elapsed, LOAD_HALF_LIFE);
+            }
+            state.faded_at = now;
+        }
+        state.loads.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Returns whether this host leads.
+    pub(crate) fn is_leading(&self) -> bool {
+        self.leading().is_some()
+    }
+
+    /// Returns this host's term while it leads.
+    pub(crate) fn leading(&self) -> Option<u64> {
+        self.state.lock().leading
+    }
+
+    /// Returns where the leader takes reports.
+    pub(crate) fn leader(&self) -> Option<SocketAddr> {
+        self.state.lock().leader
+    }
+
+    /// Returns the names of this leader's standbys.
+    pub(crate) fn standbys(&self) -> Vec<String> {
+        self.state.lock().standbys.clone()
+    }
+
+    /// Returns the addresses of the hosts that reported.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        let state = self.state.lock();
+        state.hosts.values().map(|host| host.address).collect()
+    }
+
+    /// Returns all hosts and what each knows, and notes that they are now told what
+    /// this host knows, `told`.
+    pub(crate) fn take_targets(&self, told: &KnownState) -> Vec<(SocketAddr, KnownState)> {
+        let mut targets: Vec<(SocketAddr, KnownState)> = Vec::new();
+        let mut state = self.state.lock();
+        for host in state.hosts.values_mut() {
+            targets.push((host.address, host.known.clone()));
+            // Owners are not told again until the host reports that it lacks them;
+            // entries are, as a leaving upstream must be heard of soon.
+            host.known.owners.clone_from(&told.owners);
+        }
+        for peer in std::mem::take(&mut state.peers) {
+            if targets.iter().any(|(address, _)| *address == peer) {
+                continue;
+            }
+            let known = KnownState {
+                owners: Vec::new(),
+                entries: told.entries,
+            };
+            targets.push((peer, known));
+        }
+        targets
+    }
+
+    /// Returns the next upstreams whose speed differs clearly from the usual one; the
+    /// others come with later replies, as small hosts have narrow links.
+    pub(crate) fn next_norms(&self) -> Vec<WireLoad> {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        if now - state.odd_at >= NORMS_PERIOD {
+            state.odd = state.norms.unusual(now, NORMS_PERIOD * 4);
+            state.odd_at = now;
+            let count = state.odd.len().max(1);
+            state.odd_from = (state.odd_from + MOST_NORMS) % count;
+        }
+        let from = state.odd_from.min(state.odd.len());
+        let rest = state.odd[from..].iter().chain(&state.odd[..from]);
+        rest.take(MOST_NORMS).cloned().map(WireLoad::from).collect()
+    }
+
+    /// Returns an upstream's time in a slot as all hosts see it, in milliseconds.
+    pub(crate) fn service_ms(&self, id: &str) -> Option<f64> {
+        self.state.lock().norms.service_ms(id)
+    }
+
+    /// Takes in a host's report, which came from `address`.
+    pub(crate) fn take(&self, report: &HostReport, address: SocketAddr) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        for seen in &report.seen {
+            let (id, load) = seen.clone().into();
+            state.norms.take(now, &id, load);
+        }
+        let host = KnownHost {
+            heard_at: now,
+            domain: report.domain.clone(),
+            millicores: report.millicores,
+            address,
+            known: report.known.clone(),
+        };
+        state.hosts.insert(report.host.clone(), host);
+        for (service, keys) in &report.loads {
+            let loads = state.loads.entry(service.clone()).or_default();
+            for (key, requests) in keys {
+                if requests.is_finite() && *requests > 0.0 {
+                    loads.note(*key, *requests);
+                }
+            }
+        }
+    }
+}
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -1,11 +1,12 @@
 //! Keeps sheet, upstreams and owners as the store has them.
 
 use crate::adapter::UserPlatform;
+use crate::message::OwnerNews;
 use crate::metrics::FrontMetrics;
-use crate::reports::{OwnerNews, PeerBook};
+use crate::peers::PeerBook;
 use crate::view::{FrontView, ViewCell};
 use fleet::{FleetTiming, FleetView, KnownUpstream};
-use grant::OwnerMap;
+use grant::{OwnerMap, WireOwners};
 use indexmap::IndexMap;
 use kernel::{Clock, Moment, ServiceName, UpstreamId};
 use log::{info, warn};
@@ -274,7 +275,10 @@
     }
 
     /// Takes in the owners of a service's keys, unless a newer version is known.
-    pub(crate) fn take_map(&self, service: ServiceName, version: u64, map: OwnerMap) {
+    fn take_map(&self, service: ServiceName, version: u64, mut map: OwnerMap) {
+        // Only the leader's ledger needs earlier holders; here they would be told as
+        // changes.
+        map.forget_earlier();
         let mut state = self.state.lock();
         let known = state.owner_versions.entry(service.clone()).or_insert(0);
         if version <= *known {
@@ -321,8 +325,10 @@
                 service: service.clone(),
                 base: base.map_or(0, |(_, earlier, _)| *earlier),
                 version: *version,
-                ranges: base
-                    .map_or_else(|| map.clone(), |(_, _, earlier)| map.changes_since(earlier)),
+                ranges: match base {
+                    Some((_, _, earlier)) => WireOwners::from(&map.changes_since(earlier)),
+                    None => WireOwners::from(map),
+                },
             });
         }
         newer
@@ -330,14 +336,15 @@
 
     /// Takes in what the leader says of the owners.
     pub(crate) fn take_news(&self, news: OwnerNews) {
+        let ranges = OwnerMap::from(news.ranges);
         let whole = if news.base == 0 {
-            news.ranges
+            ranges
         } else {
             let state = self.state.lock();
             let known = state.owner_versions.get(&news.service).copied();
             let view = self.cell.load();
             match view.owners.get(&news.service) {
-                Some(map) if known == Some(news.base) => map.with_changes(&news.ranges),
+                Some(map) if known == Some(news.base) => map.with_changes(&ranges),
                 // The next report says what is known, and the leader starts there.
                 _ => return,
             }
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -29,6 +29,7 @@
 mod loads;
 mod map;
 mod timing;
+mod wire;
 
 pub use balance::Candidate;
 pub use lead::{LeadRow, LeadTerm};
@@ -36,6 +37,7 @@
 pub use loads::KeyLoads;
 pub use map::{Holder, OwnedRange, OwnerMap};
 pub use timing::GrantTiming;
+pub use wire::WireOwners;
 
 /// Number of keys that a divided service has.
 pub const KEYS: u32 = 65_536;
--- a/crates/grant/src/map.rs
+++ b/crates/grant/src/map.rs
@@ -114,6 +114,13 @@
         epochs.max().unwrap_or(0)
     }
 
+    /// Drops earlier holders, which only who grants keys has to know.
+    pub fn forget_earlier(&mut self) {
+        for range in &mut self.ranges {
+            range.earlier = Vec::new();
+        }
+    }
+
     /// Returns the ranges that `earlier` has not.
     pub fn changes_since(&self, earlier: &Self) -> Self {
         let changed = self.ranges.iter().filter(|range| {
