Refuse requests for keys of a lost upstream at once; probe paused upstreams

Change: a range that has been without a holder for 600 ms is refused at once (place::MoveWaits); upstreams that requests want are tried by connections of their own, 20 a second at most. Tests: place/tests/moves.rs, take_probes_* in place/tests/choice.rs.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -8,12 +8,12 @@
 use crate::order::{ClientRequest, WorkOrder};
 use crate::view::{FrontView, ViewCell};
 use fleet::{KnownUpstream, Presence, UpstreamEntry};
-use grant::KeyLoads;
+use grant::{KeyLoads, OwnedRange};
 use indexmap::IndexMap;
 use kernel::{Cause, Clock, DomainName, Moment, Refusal, ServiceName, UpstreamId, Verdict};
 use log::{debug, info};
 use parking_lot::Mutex;
-use place::{Choice, LoadReport, PlaceBook, Placement, SentRequest, WorkEnd, WorkNeed};
+use place::{Choice, LoadReport, MoveWaits, PlaceBook, Placement, SentRequest, WorkEnd, WorkNeed};
 use retry::QuarantineBook;
 use sheet::WorkKind;
 use std::sync::Arc;
@@ -22,9 +22,6 @@
 
 /// Between two looks at the view while keys change hands.
 const MOVE_POLL: Duration = Duration::from_millis(20);
-/// Longest wait for keys that change hands; a move takes as long as the requests
-/// that run, a few hundred milliseconds.
-const MOVE_PATIENCE: Duration = Duration::from_millis(600);
 /// When a client is asked to come back while upstreams or owners are missing.
 const SETTLE_RETRY: Duration = Duration::from_millis(400);
 /// Part of the target latency within which the answer is to be expected when a
@@ -46,6 +43,7 @@
 pub(crate) struct DispatchParts {
     pub view: Arc<ViewCell>,
     pub place: Mutex<PlaceBook>,
+    pub moves: Mutex<MoveWaits>,
     pub exchanger: Exchanger,
     pub budgets: RetryBudgets,
     pub quarantine: Mutex<QuarantineBook>,
@@ -78,8 +76,8 @@
 /// Where a request can go now.
 enum Target {
     To(Box<UpstreamEntry>, Duration),
-    /// Its key is changing hands.
-    Moving,
+    /// Its key is changing hands, and the request may wait for so long.
+    Moving(Duration),
     Refused(Refusal),
 }
 
@@ -160,7 +158,6 @@
     ) -> Result<UpstreamAnswer, Refusal> {
         let parts = &self.parts;
         let rule = order.route.rule();
-        let started_at = parts.clock.now();
         loop {
             let now = parts.clock.now();
             if now >= order.deadline {
@@ -173,8 +170,8 @@
             let (entry, expected) = match self.find_target(now, order, record) {
                 Target::To(entry, expected) => (entry, expected),
                 Target::Refused(refusal) => return Err(refusal),
-                Target::Moving => {
-                    if now - started_at >= MOVE_PATIENCE {
+                Target::Moving(patience) => {
+                    if patience.is_zero() {
                         return Err(Refusal::new(Cause::ShardMoving).after(SETTLE_RETRY));
                     }
                     async_std::task::sleep(MOVE_POLL).await;
@@ -250,6 +247,19 @@
         exchanged.result
     }
 
+    /// Tries whether an upstream can be reached again, and keeps the connection.
+    pub(crate) async fn probe(self, entry: UpstreamEntry) {
+        let parts = &self.parts;
+        let Ok(stream) = h1::dial(entry.address, crate::pool::CONNECT_LIMIT).await else {
+            return;
+        };
+        info!(target: "upstream", "upstream={} state=reachable", entry.id);
+        let now = parts.clock.now();
+        let connection = h1::Connection::new(stream);
+        parts.exchanger.pool.keep(now, &entry.id, connection, None);
+        parts.place.lock().note_reachable(&entry.id);
+    }
+
     /// Refuses a request that crashes the upstreams that run it.
     fn check_quarantine(&self, now: Moment, order: &WorkOrder) -> Result<(), Refusal> {
         let book = self.parts.quarantine.lock();
@@ -315,19 +325,12 @@
             .owners
             .get(&order.service)
             .and_then(|map| map.find(key));
-        let Some(range) = range.filter(|range| range.is_held) else {
-            return Target::Moving;
-        };
-        let Some(owner) = &range.owner else {
-            return Target::Moving;
-        };
-        let Some(known) = view.upstreams.get(&owner.upstream) else {
-            return Target::Moving;
+        let first = range.map_or(0, |range| range.first);
+        let Some(known) = range.and_then(|range| self.usable_holder(now, range, view)) else {
+            let mut moves = self.parts.moves.lock();
+            return Target::Moving(moves.patience(now, &order.service, first));
         };
-        let is_same_run = known.entry.started_at_ms == owner.run;
-        if !is_same_run || !self.is_owner_usable(now, known) {
-            return Target::Moving;
-        }
+        self.parts.moves.lock().note_held(&order.service, first);
         self.place(
             now,
             order,
@@ -336,6 +339,19 @@
         )
     }
 
+    /// Returns the upstream that holds a range, if it may be sent work.
+    fn usable_holder<'a>(
+        &self,
+        now: Moment,
+        range: &OwnedRange,
+        view: &'a FrontView,
+    ) -> Option<&'a KnownUpstream> {
+        let owner = range.owner.as_ref().filter(|_| range.is_held)?;
+        let known = view.upstreams.get(&owner.upstream)?;
+        let is_same_run = known.entry.started_at_ms == owner.run;
+        (is_same_run && self.is_owner_usable(now, known)).then_some(known)
+    }
+
     /// Returns whether the holder of keys may still be sent work.
     fn is_owner_usable(&self, now: Moment, known: &KnownUpstream) -> bool {
         match known.presence {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -21,7 +21,7 @@
 use kernel::{BootClock, Clock, TaskScope};
 use log::info;
 use parking_lot::Mutex;
-use place::PlaceBook;
+use place::{MoveWaits, PlaceBook};
 use retry::QuarantineBook;
 use std::fmt;
 use std::io;
@@ -40,6 +40,9 @@
 const LINGER: Duration = Duration::from_millis(60);
 /// How often lapsed upstreams and connections are dropped.
 const SWEEP_PERIOD: Duration = Duration::from_millis(200);
+/// Upstreams that a host tries to reach in one sweep; 20 connections a second at
+/// most, a hundredth of a small host's processor.
+const MOST_PROBES: usize = 4;
 /// For which a request that ended upstreams is suspected.
 const SUSPECT_HOLD: Duration = Duration::from_mins(2);
 /// Largest part of the drain bound for which a missing upstream stays in use.
@@ -177,6 +180,7 @@
             parts: Arc::new(DispatchParts {
                 view: Arc::clone(&self.view),
                 place: Mutex::new(PlaceBook::new(fastrand::u64(..))),
+                moves: Mutex::new(MoveWaits::default()),
                 exchanger: Exchanger {
                     pool: ConnectionPool::default(),
                     clock: Arc::clone(&self.clock),
@@ -281,7 +285,11 @@
         };
         scope.spawn(link.clone().send_reports());
         scope.spawn(link.clone().receive());
-        scope.spawn(sweep(Arc::clone(&keeper), dispatcher.clone()));
+        scope.spawn(sweep(
+            Arc::clone(&keeper),
+            dispatcher.clone(),
+            scope.clone(),
+        ));
         parts.spawn_leader(keeper, dispatcher, link);
         let settings = parts.settings;
         info!(
@@ -330,8 +338,8 @@
         .map_err(|error| StartFailure::Listen { address, error })
 }
 
-/// Drops what has lapsed, for good.
-async fn sweep(keeper: Arc<ViewKeeper>, dispatcher: Dispatcher) {
+/// Drops what has lapsed and tries to reach upstreams that are wanted, for good.
+async fn sweep(keeper: Arc<ViewKeeper>, dispatcher: Dispatcher, scope: TaskScope) {
     loop {
         async_std::task::sleep(SWEEP_PERIOD).await;
         let parts = &dispatcher.parts;
@@ -342,6 +350,13 @@
             .exchanger
             .pool
             .prune(now, |id| view.upstreams.contains_key(id));
+        parts.moves.lock().prune(now);
+        let probes = parts.place.lock().take_probes(now, MOST_PROBES);
+        for id in probes {
+            if let Some(known) = view.upstreams.get(&id) {
+                scope.spawn(dispatcher.clone().probe(known.entry.clone()));
+            }
+        }
         if has_dropped {
             parts
                 .place
--- a/crates/place/src/book.rs
+++ b/crates/place/src/book.rs
@@ -95,6 +95,26 @@
         seen
     }
 
+    /// Returns up to `most` upstreams to try to reach now: those that are paused after
+    /// failed connections though requests want them.
+    ///
+    /// Answers partitions that heal: the holder of a key has no stand-in, and without
+    /// a try the pause would outlast the partition by seconds.
+    pub fn take_probes(&mut self, now: Moment, most: usize) -> Vec<UpstreamId> {
+        let due = self
+            .upstreams
+            .iter_mut()
+            .filter_map(|(id, state)| state.take_probe(now).then(|| id.clone()));
+        due.take(most).collect()
+    }
+
+    /// Notes that a connection to an upstream could be made.
+    pub fn note_reachable(&mut self, id: &UpstreamId) {
+        if let Some(state) = self.upstreams.get_mut(id) {
+            state.note_reachable();
+        }
+    }
+
     /// Takes in what all hosts together have seen of an upstream.
     pub fn learn(&mut self, now: Moment, id: &UpstreamId, norm: SeenLoad) {
         self.upstreams
@@ -117,6 +137,7 @@
             let choice = &choices[index];
             let state = self.upstreams.entry(choice.id.clone()).or_default();
             if state.is_paused(now) {
+                state.note_wanted();
                 continue;
             }
             is_any_reached = true;
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -18,9 +18,11 @@
 //! ```
 
 mod book;
+mod moves;
 mod norms;
 mod state;
 
 pub use book::{Choice, PlaceBook, Placement, SentRequest, WorkNeed};
+pub use moves::MoveWaits;
 pub use norms::LoadNorms;
 pub use state::{LoadReport, SeenLoad, WorkEnd};
--- a/crates/place/src/state.rs
+++ b/crates/place/src/state.rs
@@ -23,6 +23,9 @@
 /// Longest pause after failed connections; an upstream that is back is tried
 /// again within this time.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// Between two tries to reach a paused upstream that requests want; longer than one
+/// try takes, and short beside the pauses.
+const PROBE_PAUSE: Duration = Duration::from_millis(500);
 /// For which an upstream that said it is full is passed over; about the time in
 /// which one of its slots becomes free.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
@@ -82,6 +85,9 @@
     paused_until: Moment,
     pause: Duration,
     full_until: Moment,
+    /// Whether a request would have gone here but for the pause.
+    is_wanted: bool,
+    probe_at: Moment,
     seen: SeenSums,
     norm: Option<(Moment, SeenLoad)>,
 }
@@ -105,6 +111,8 @@
             paused_until: Moment::ZERO,
             pause: FIRST_PAUSE,
             full_until: Moment::ZERO,
+            is_wanted: false,
+            probe_at: Moment::ZERO,
             seen: SeenSums::default(),
             norm: None,
         }
@@ -146,6 +154,27 @@
         now < self.paused_until
     }
 
+    /// Notes that a request would have gone here but for the pause.
+    pub(crate) fn note_wanted(&mut self) {
+        self.is_wanted = true;
+    }
+
+    /// Returns whether to try now whether the upstream can be reached again.
+    pub(crate) fn take_probe(&mut self, now: Moment) -> bool {
+        if !self.is_wanted || !self.is_paused(now) || now < self.probe_at {
+            return false;
+        }
+        self.is_wanted = false;
+        self.probe_at = now + PROBE_PAUSE;
+        true
+    }
+
+    /// Notes that a connection could be made; requests may go here again.
+    pub(crate) fn note_reachable(&mut self) {
+        self.pause = FIRST_PAUSE;
+        self.paused_until = Moment::ZERO;
+    }
+
     pub(crate) fn is_full(&self, now: Moment) -> bool {
         now < self.full_until
     }
@@ -219,8 +248,7 @@
 
     fn note_reached(&mut self, failure: f64) {
         self.failures += FAILURE_WEIGHT * (failure - self.failures);
-        self.pause = FIRST_PAUSE;
-        self.paused_until = Moment::ZERO;
+        self.note_reachable();
     }
 
     /// Takes the time in the slot to be the latency less the wait expected when the
--- a/crates/place/tests/choice.rs
+++ b/crates/place/tests/choice.rs
@@ -189,3 +189,46 @@
         book.begin(now, &id, SLOTS);
     }
 }
+
+/// Plays a partition of 5 s before the only upstream that may run requests, and
+/// returns how long after its end the first request is sent.
+fn recover(is_probed: bool) -> Duration {
+    let mut book = PlaceBook::new(3);
+    let only = choices(1);
+    let healed_ms = 5_000;
+    let mut probe: Option<u64> = None;
+    for now_ms in (0..20_000_u64).step_by(50) {
+        let now = Moment::from_millis(10_000 + now_ms);
+        if is_probed && !book.take_probes(now, 4).is_empty() {
+            probe = Some(now_ms);
+        }
+        if probe.take_if(|at| *at + 50 <= now_ms).is_some() && now_ms > healed_ms {
+            book.note_reachable(&only[0].id);
+        }
+        let Placement::Send { id, .. } = book.choose(now, &only, &need(400)) else {
+            continue;
+        };
+        if now_ms >= healed_ms {
+            return Duration::from_millis(now_ms - healed_ms);
+        }
+        let sent = book.begin(now, &id, SLOTS);
+        book.end(now, &sent, WorkEnd::Unreachable, None);
+    }
+    Duration::MAX
+}
+
+#[test]
+fn take_probes_notices_the_end_of_a_partition_soon() {
+    assert!(recover(true) <= Duration::from_millis(700));
+    assert!(recover(false) > Duration::from_millis(2_000));
+}
+
+#[test]
+fn take_probes_leaves_unwanted_upstreams_alone() {
+    let mut book = PlaceBook::new(3);
+    let now = Moment::from_millis(1_000);
+    let only = choices(1);
+    let sent = book.begin(now, &only[0].id, SLOTS);
+    book.end(now, &sent, WorkEnd::Unreachable, None);
+    assert!(book.take_probes(now, 4).is_empty());
+}
--- /dev/null
+++ b/crates/place/tests/moves.rs
@@ -0,0 +1,73 @@
+//! What requests for keys without a holder get, moved ones and lost ones.
+
+use kernel::{Moment, ServiceName};
+use place::MoveWaits;
+use rstest::rstest;
+use std::time::Duration;
+
+/// What callers got.
+#[derive(Default)]
+struct Outcome {
+    served: u32,
+    refused: u32,
+    /// Time that refused callers were kept waiting, in milliseconds.
+    wasted_ms: u64,
+}
+
+/// Sends a request each 20 ms for 5 s to a range that has no holder until `held_ms`.
+fn play(held_ms: u64) -> Outcome {
+    let service = ServiceName::from("charts");
+    let mut waits = MoveWaits::default();
+    let mut outcome = Outcome::default();
+    let mut waiting: Vec<u64> = Vec::new();
+    for now_ms in (0..5_000).step_by(20) {
+        let now = Moment::from_millis(10_000 + now_ms);
+        waiting.push(now_ms);
+        if now_ms >= held_ms {
+            waits.note_held(&service, 512);
+            outcome.served += waiting.drain(..).count() as u32;
+            continue;
+        }
+        waiting.retain(|sent_ms| {
+            if !waits.patience(now, &service, 512).is_zero() {
+                return true;
+            }
+            outcome.refused += 1;
+            outcome.wasted_ms += now_ms - sent_ms;
+            false
+        });
+    }
+    outcome
+}
+
+#[rstest]
+#[case::quick_move(300)]
+#[case::slow_move(580)]
+fn patience_waits_for_a_move(#[case] held_ms: u64) {
+    let outcome = play(held_ms);
+    assert_eq!((outcome.served, outcome.refused), (250, 0));
+}
+
+#[test]
+fn patience_refuses_at_once_while_a_lease_lapses() {
+    let outcome = play(4_400);
+    assert_eq!(outcome.served + outcome.refused, 250);
+    // Those of the first 600 ms waited in vain, 300 ms on average; no other did.
+    assert!(outcome.wasted_ms <= 30 * 600, "{} ms", outcome.wasted_ms);
+    assert!(outcome.refused >= 190, "{}", outcome.refused);
+}
+
+#[test]
+fn patience_counts_anew_after_a_quiet_time() {
+    let service = ServiceName::from("charts");
+    let mut waits = MoveWaits::default();
+    let at = |ms: u64| Moment::from_millis(1_000 + ms);
+    let whole = waits.patience(at(0), &service, 0);
+    assert!(waits.patience(at(700), &service, 0).is_zero());
+    assert_eq!(waits.patience(at(5_000), &service, 0), whole);
+    waits.note_held(&service, 0);
+    assert_eq!(waits.patience(at(5_700), &service, 0), whole);
+    waits.prune(at(8_000));
+    assert_eq!(waits.patience(at(8_001), &service, 0), whole);
+    assert!(whole > Duration::from_millis(500));
+}
