Let a leader that loses the store leave its lease to a standby that has it

Change: grants are renewed for long only within 0.7 s of the lease's end; a leader whose writes fail for 0.3 s while a standby reports that it reaches the store gives its term up, and tells for how long its grants may be in force. The same is in the row of a leader that stops. Grants hold for 3 s (4), the lease for 1.6 s (2).

--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -10,14 +10,15 @@
 use async_channel::{Receiver, Sender, unbounded};
 use async_std::future::timeout;
 use grant::{
-    CallReply, Candidate, GrantCall, GrantLedger, GrantTiming, Holder, LeadRow, LeadTerm, OwnerMap,
+    CallReply, Candidate, GrantCall, GrantLedger, GrantTiming, Holder, LastTerm, LeadRow, LeadTerm,
+    OwnerMap,
 };
 use indexmap::IndexMap;
 use kernel::{Clock, Moment, ServiceName, TaskScope};
 use log::{info, warn};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 use store::{RowName, RowStamp, RowStore, RowWrite, TableRow, WriteError};
 
@@ -35,8 +36,8 @@
 const STANDBYS: usize = 2;
 /// Silence of the leader after which a standby looks after the lease; two replies.
 const STANDBY_SILENCE: Duration = Duration::from_millis(800);
-/// How often it looks then; keys outlast the lease by 2 s.
-const STANDBY_POLL: Duration = Duration::from_millis(400);
+/// How often it looks then; grants are to outlast the lease and one such pause.
+const STANDBY_POLL: Duration = Duration::from_millis(300);
 /// Silence of the leader after which other hosts look; it may have lost the lease
 /// and the datagrams with the news.
 const OTHER_SILENCE: Duration = Duration::from_millis(2_500);
@@ -53,6 +54,12 @@
 const SPREAD_AGAIN: Duration = Duration::from_millis(200);
 /// Pause after a failed write.
 const WRITE_PAUSE: Duration = Duration::from_millis(120);
+/// For which the store must have failed the leader before it leaves the lease to a
+/// standby that reaches the store; two failed writes.
+const YIELD_AFTER: Duration = Duration::from_millis(300);
+/// Time before the lease's end at which grants are renewed for the longest time, as
+/// the store has failed; three renewals take less.
+const LAST_RENEWAL: Duration = Duration::from_millis(700);
 /// Longest time for a call to the store on which the lease depends.
 const STORE_LIMIT: Duration = Duration::from_millis(600);
 /// Range of an upstream's speed against the average that is believed.
@@ -102,6 +109,12 @@
     crowd: (usize, Moment),
     was_leading: bool,
     was_live: bool,
+    /// Counts the terms that this host gave up; calls of those are not sent any more.
+    terms_ended: Arc<AtomicU64>,
+    /// The term that this host left to a standby; it must not lead in it again.
+    yielded_term: Option<u64>,
+    /// Since when the store has failed this leader.
+    failing_since: Option<Moment>,
     /// Version of the entries that all hosts were told of, and when to tell again.
     spread: (u64, Option<Moment>),
 }
@@ -129,6 +142,9 @@
             crowd: (0, Moment::ZERO),
             was_leading: false,
             was_live: true,
+            terms_ended: Arc::default(),
+            yielded_term: None,
+            failing_since: None,
             spread: (0, None),
             parts,
         }
@@ -157,6 +173,9 @@
                 async_std::task::sleep(pause).await;
                 continue;
             }
+            if self.parts.book.take_end() {
+                poll_at = now;
+            }
             if now >= poll_at && !self.hears_leader() {
                 self.poll().await;
                 poll_at = self.now() + self.poll_pause();
@@ -167,12 +186,12 @@
     }
 
     fn hears_leader(&self) -> bool {
-        let silence = if self.parts.book.is_standby() {
-            STANDBY_SILENCE
-        } else {
-            OTHER_SILENCE
-        };
-        self.parts.book.hears_leader(silence)
+        let book = &self.parts.book;
+        if book.is_standby() {
+            // A leader without the store is to learn whether this host reaches it.
+            return book.is_told_entries(STANDBY_SILENCE);
+        }
+        book.hears_leader(OTHER_SILENCE)
     }
 
     fn note_change(&mut self, is_leading: bool) {
@@ -223,11 +242,14 @@
         }
         let store_now = self.store_now_ms;
         let name = &self.parts.settings.name;
-        let is_own = self.row.as_ref().is_some_and(|row| row.run == self.run);
-        let may_take = self
+        let is_own = self
             .row
             .as_ref()
-            .is_none_or(|row| row.may_be_taken(name, self.run, store_now));
+            .is_some_and(|row| row.run == self.run && self.yielded_term != Some(row.term));
+        let may_take = self.row.as_ref().is_none_or(|row| {
+            let has_resigned = self.parts.book.ended(row.term).is_some();
+            has_resigned || row.may_be_taken(name, self.run, store_now)
+        });
         // At a start all hosts look at once; a strong one is to lead.
         let is_weak = self.parts.settings.millicores < STRONG_MILLICORES;
         let is_early = is_weak && self.polls < FIRST_POLLS;
@@ -252,6 +274,7 @@
                 return false;
             }
         };
+        self.parts.book.note_store_seen();
         self.term.note_reading(sent_at, page.store_now_ms);
         self.store_now_ms = page.store_now_ms;
         let found = page.rows.iter().find(|row| row.key == LEAD_KEY);
@@ -268,7 +291,16 @@
     /// Writes the lease; `is_own` says whether this run had it before.
     async fn take_lease(&mut self, is_own: bool) {
         let before = self.row.clone();
-        let was_clean = before.as_ref().is_none_or(|row| row.is_clean);
+        let last = before.as_ref().map_or_else(
+            || LastTerm {
+                is_clean: true,
+                held_for: None,
+            },
+            |row| {
+                let told = self.parts.book.ended(row.term);
+                told.unwrap_or_else(|| LastTerm::from(row))
+            },
+        );
         let term = before
             .as_ref()
             .map_or(1, |row| if is_own { row.term } else { row.term + 1 });
@@ -286,7 +318,7 @@
         let listed = timeout(STORE_LIMIT, self.parts.store.list(&table)).await;
         let Ok(Ok(page)) = listed else {
             // Without the owners nothing can be granted; the next look tries again.
-            self.term.give_up();
+            self.give_up();
             return;
         };
         let now = self.now();
@@ -301,15 +333,17 @@
                 continue;
             };
             let mut ledger = GrantLedger::new(self.timing, term);
-            ledger.adopt(now, map, was_clean);
+            ledger.adopt(now, map, last);
             self.ledgers.insert(service, ledger);
         }
         info!(
             target: "lead",
-            "state=taken term={term} clean={was_clean} services={}",
+            "state=taken term={term} clean={} held_for_ms={} services={}",
+            last.is_clean,
+            last.held_for.map_or(-1, |held| held.as_millis() as i64),
             self.ledgers.len(),
         );
-        self.parts.link.announce(term, true).await;
+        self.parts.link.announce(term).await;
     }
 
     /// Writes the lease anew, together with rows of owners.
@@ -324,7 +358,7 @@
                 "the store's time is unknown".to_owned(),
             ));
         };
-        let row = self.lead_row(term, expires_ms, false);
+        let row = self.lead_row(term, expires_ms, LastTerm::default());
         let (write, values) = self.row_write(&row, &owners);
         let outcome = timeout(STORE_LIMIT, self.parts.store.write(&write)).await;
         let outcome = match outcome {
@@ -358,9 +392,10 @@
                         version: stamp.version,
                     });
                 }
+                self.failing_since = None;
                 self.set_long(false);
                 if is_news {
-                    self.parts.link.announce(term, true).await;
+                    self.parts.link.announce(term).await;
                 }
                 Ok(())
             }
@@ -368,11 +403,11 @@
                 warn!(target: "lead", "state=write_failed term={term} error=\"{error}\"");
                 if error == WriteError::Conflict {
                     // Somebody else has written: nothing of what is known holds.
-                    self.term.give_up();
+                    self.give_up();
                     self.parts.book.set_leading(None, &[]);
                     self.ledgers.clear();
                 } else {
-                    self.set_long(true);
+                    self.failing_since.get_or_insert(sent_at);
                     self.parts.book.set_live(false);
                 }
                 Err(error)
@@ -387,7 +422,6 @@
         why: String,
     ) -> Result<RowStamp, WriteError> {
         let version = self.row_version;
-        self.set_long(true);
         self.parts.book.set_live(false);
         self.spread_liveness(written.term).await;
         if !self.read_row().await {
@@ -412,7 +446,7 @@
         }
     }
 
-    fn lead_row(&self, term: u64, expires_ms: u64, is_clean: bool) -> LeadRow {
+    fn lead_row(&self, term: u64, expires_ms: u64, last: LastTerm) -> LeadRow {
         let settings = &self.parts.settings;
         let mut others = self.parts.book.hosts();
         others.retain(|host| host.name != settings.name);
@@ -433,7 +467,8 @@
             run: self.run,
             address: settings.internal.to_string(),
             expires_ms,
-            is_clean,
+            is_clean: last.is_clean,
+            held_for_ms: last.held_for.map(|held| held.as_millis() as u64),
             hosts,
             standbys: standbys.collect(),
         }
@@ -468,7 +503,7 @@
         let is_live = self.parts.book.is_live();
         if is_live != self.was_live {
             self.was_live = is_live;
-            self.parts.link.announce(term, true).await;
+            self.parts.link.announce(term).await;
         }
     }
 
@@ -490,7 +525,7 @@
             }
         }
         let term = self.row.as_ref().map_or(0, |row| row.term);
-        self.parts.link.announce(term, true).await;
+        self.parts.link.announce(term).await;
     }
 
     /// Steps all ledgers and does what they ask for.
@@ -498,9 +533,19 @@
         let term = self.row.as_ref().map_or(0, |row| row.term);
         self.spread_liveness(term).await;
         self.spread_entries(now).await;
+        if self.yield_lease(now).await {
+            return;
+        }
         if now < self.step_at {
             return;
         }
+        let is_ending = self
+            .term
+            .valid_until()
+            .is_some_and(|until| until - now < LAST_RENEWAL);
+        if self.failing_since.is_some() && is_ending {
+            self.set_long(true);
+        }
         self.step_at = now + STEP_PAUSE;
         let mut commits = Vec::new();
         let mut calls = Vec::new();
@@ -529,8 +574,13 @@
             let sender = self.sender.clone();
             let valid_until = self.term.valid_until();
             let clock = Arc::clone(&self.parts.clock);
+            let terms_ended = Arc::clone(&self.terms_ended);
+            let ended_before = terms_ended.load(Ordering::SeqCst);
             self.parts.scope.spawn(async move {
-                let is_valid = move || valid_until.is_some_and(|until| clock.now() < until);
+                let is_valid = move || {
+                    valid_until.is_some_and(|until| clock.now() < until)
+                        && terms_ended.load(Ordering::SeqCst) == ended_before
+                };
                 let reply = caller.call(address, &call, &is_valid).await;
                 // The loop ends only with the process.
                 let _ended = sender.send((service, call, reply)).await;
@@ -619,23 +669,60 @@
         candidates.collect()
     }
 
+    /// Leaves the lease to a standby that reaches the store when this host does not;
+    /// returns whether it did.
+    async fn yield_lease(&mut self, now: Moment) -> bool {
+        let is_failing = self
+            .failing_since
+            .is_some_and(|since| now - since >= YIELD_AFTER);
+        if !is_failing || !self.parts.book.is_store_seen_by_standby() {
+            return false;
+        }
+        let (term, last) = self.end_term(now);
+        self.yielded_term = Some(term);
+        self.parts.link.announce_end(term, last).await;
+        info!(target: "lead", "state=yielded term={term} clean={}", last.is_clean);
+        true
+    }
+
+    fn give_up(&mut self) {
+        self.term.give_up();
+        self.terms_ended.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Stops leading; returns the term and what it leaves behind.
+    fn end_term(&mut self, now: Moment) -> (u64, LastTerm) {
+        self.give_up();
+        let held = self.ledgers.values().map(|ledger| ledger.held_for(now));
+        let last = LastTerm {
+            is_clean: self.ledgers.values().all(|ledger| ledger.is_clean(now)),
+            held_for: Some(held.max().unwrap_or_default()),
+        };
+        self.ledgers.clear();
+        self.failing_since = None;
+        let row = self.row.as_ref();
+        let term = row.map_or(1, |row| row.term);
+        // The end is told to the standbys as such, so that one of them takes over.
+        let standbys = row.map_or(&[][..], |row| row.standbys.as_slice());
+        self.parts.book.set_leading(None, standbys);
+        (term, last)
+    }
+
     /// Gives the lease up, so that another host leads at once.
     async fn resign(&mut self) {
         let now = self.now();
         if !self.term.is_valid(now) {
             return;
         }
-        let is_clean = self.ledgers.values().all(|ledger| ledger.is_clean(now));
-        let term = self.row.as_ref().map_or(1, |row| row.term);
-        let row = self.lead_row(term, 0, is_clean);
-        self.term.give_up();
+        let (term, last) = self.end_term(now);
+        let row = self.lead_row(term, 0, last);
         let (write, _) = self.row_write(&row, &[]);
         let written = timeout(STORE_LIMIT, self.parts.store.write(&write)).await;
-        self.parts.book.set_leading(None, &[]);
-        self.parts.link.announce(term, false).await;
+        self.parts.link.announce_end(term, last).await;
         info!(
             target: "lead",
-            "state=resigned term={term} clean={is_clean} written={}",
+            "state=resigned term={term} clean={} written={}",
+            last.is_clean,
             matches!(written, Ok(Ok(_))),
         );
     }
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -4,12 +4,13 @@
 //! `postcard`'s encoding. Upstreams are named once in a message of owners, as names
 //! would be most of its bytes.
 
-use grant::WireOwners;
+use grant::{LastTerm, WireOwners};
 use kernel::{DomainName, ServiceName, UpstreamId};
 use place::SeenLoad;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 use store::TableRow;
 
 /// Largest datagram, in bytes; the protocol's limit is 64 KB. Owners that don't fit
@@ -17,7 +18,7 @@
 pub(crate) const DATAGRAM_BYTES: usize = 60 << 10;
 /// First byte of every message; another one is another format, of a version of the
 /// program that is being replaced.
-const FORMAT: u8 = 2;
+const FORMAT: u8 = 3;
 
 /// A datagram that holds no message.
 #[derive(Debug)]
@@ -89,6 +90,8 @@
     pub suspects: Vec<Suspect>,
     /// What the host has seen of upstreams since its last report.
     pub seen: Vec<WireLoad>,
+    /// Whether the host has reached the store lately.
+    pub sees_store: bool,
     /// What the host knows.
     pub known: KnownState,
 }
@@ -124,6 +127,29 @@
     }
 }
 
+/// What a leader leaves behind: whether every grant was answered, and for how many
+/// milliseconds its grants may be in force, if it knows.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct WireLast(bool, Option<u64>);
+
+impl From<LastTerm> for WireLast {
+    fn from(last: LastTerm) -> Self {
+        Self(
+            last.is_clean,
+            last.held_for.map(|held| held.as_millis() as u64),
+        )
+    }
+}
+
+impl From<WireLast> for LastTerm {
+    fn from(WireLast(is_clean, held_for_ms): WireLast) -> Self {
+        Self {
+            is_clean,
+            held_for: held_for_ms.map(Duration::from_millis),
+        }
+    }
+}
+
 /// Owners of a service's keys that are newer than what a host knows.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct OwnerNews {
@@ -163,8 +189,8 @@
 pub(crate) struct LeaderReply {
     /// The leader's term; a smaller one is out of date.
     pub term: u64,
-    /// Whether the sender still leads; it says so when it gives up.
-    pub is_leading: bool,
+    /// What the sender leaves behind when it no longer leads.
+    pub ended: Option<WireLast>,
     /// Whether the sender hears of changed entries from the store.
     pub is_live: bool,
     pub hosts: u32,
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -1,7 +1,7 @@
 //! What the leader knows of the other hosts, and all of the leader.
 
 use crate::message::{HostReport, KnownState, LeaderReply, WireLoad};
-use grant::KeyLoads;
+use grant::{KeyLoads, LastTerm};
 use indexmap::IndexMap;
 use kernel::{Clock, DomainName, Moment, ServiceName, UpstreamId};
 use parking_lot::Mutex;
@@ -12,6 +12,9 @@
 
 /// For which a host counts after its last report.
 const HOST_KEPT: Duration = Duration::from_secs(5);
+/// For which an answer of the store, or a standby's word of one, counts; a standby
+/// looks at the store and reports three times in it.
+const STORE_SEEN: Duration = Duration::from_millis(900);
 /// Most speeds of upstreams in one reply.
 const MOST_NORMS: usize = 40;
 /// Age at which the list of unusual upstreams is made anew; hosts report as often.
@@ -37,6 +40,7 @@
     domain: DomainName,
     millicores: u32,
     address: SocketAddr,
+    sees_store: bool,
     known: KnownState,
 }
 
@@ -53,6 +57,12 @@
     term: u64,
     heard_at: Option<Moment>,
     is_standby: bool,
+    /// The last term whose end was told, what was left behind, and when it was told.
+    ended: Option<(u64, LastTerm, Moment)>,
+    /// Whether the end of a term was told since the last look at it.
+    is_end_new: bool,
+    /// When this host last reached the store.
+    store_seen_at: Option<Moment>,
     /// Whether this host hears of changed entries from the store.
     is_live: bool,
     /// Whether the leader does.
@@ -82,6 +92,9 @@
                 term: 0,
                 heard_at: None,
                 is_standby: false,
+                ended: None,
+                is_end_new: false,
+                store_seen_at: None,
                 is_live: true,
                 is_leader_live: false,
                 leading: None,
@@ -118,6 +131,42 @@
         self.hears_leader(span) && self.state.lock().is_leader_live
     }
 
+    /// Returns what the leader of `term` left behind, if it told that it gave up.
+    pub(crate) fn ended(&self, term: u64) -> Option<LastTerm> {
+        let now = self.clock.now();
+        let (ended, last, told_at) = self.state.lock().ended?;
+        let held_for = last.held_for.map(|held| held.saturating_sub(now - told_at));
+        (ended == term).then_some(LastTerm { held_for, ..last })
+    }
+
+    /// Returns whether a leader has told this standby of its end since the last call.
+    pub(crate) fn take_end(&self) -> bool {
+        std::mem::take(&mut self.state.lock().is_end_new)
+    }
+
+    /// Notes that the store has answered this host.
+    pub(crate) fn note_store_seen(&self) {
+        self.state.lock().store_seen_at = Some(self.clock.now());
+    }
+
+    /// Returns whether the store has answered this host lately.
+    pub(crate) fn sees_store(&self) -> bool {
+        let now = self.clock.now();
+        let seen_at = self.state.lock().store_seen_at;
+        seen_at.is_some_and(|at| now - at < STORE_SEEN)
+    }
+
+    /// Returns whether a standby has reported lately that it reaches the store.
+    pub(crate) fn is_store_seen_by_standby(&self) -> bool {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let mut standbys = state
+            .standbys
+            .iter()
+            .filter_map(|name| state.hosts.get(name));
+        standbys.any(|host| host.sees_store && now - host.heard_at < STORE_SEEN)
+    }
+
     /// Notes whether this host hears of changed entries from the store.
     pub(crate) fn set_live(&self, is_live: bool) {
         self.state.lock().is_live = is_live;
@@ -168,9 +217,12 @@
         if !reply.peers.is_empty() {
             state.peers.clone_from(&reply.peers);
         }
-        if !reply.is_leading {
-            // The next look at the store finds who leads now.
-            state.heard_at = None;
+        if let Some(last) = reply.ended {
+            if state.ended.is_none_or(|(term, ..)| term < reply.term) {
+                state.ended = Some((reply.term, last.into(), now));
+                // The others wait for the standby to tell them; all would look at once.
+                state.is_end_new = state.is_standby;
+            }
             return true;
         }
         state.leader = Some(from);
@@ -277,6 +329,7 @@
             domain: report.domain.clone(),
             millicores: report.millicores,
             address,
+            sees_store: report.sees_store,
             known: report.known.clone(),
         };
         state.hosts.insert(report.host.clone(), host);
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -7,11 +7,13 @@
 
 use crate::dispatch::Dispatcher;
 use crate::message::{
-    DATAGRAM_BYTES, HostReport, KnownState, LeaderReply, PeerMessage, Suspect, WireEntry, WireLoad,
+    DATAGRAM_BYTES, HostReport, KnownState, LeaderReply, PeerMessage, Suspect, WireEntry, WireLast,
+    WireLoad,
 };
 use crate::peers::PeerBook;
 use crate::watch::ViewKeeper;
 use async_std::net::UdpSocket;
+use grant::LastTerm;
 use log::{debug, warn};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,6 +24,8 @@
 const REPORT_PERIOD: Duration = Duration::from_millis(700);
 /// The same for a standby, which notices the leader's loss by missing replies.
 const STANDBY_PERIOD: Duration = Duration::from_millis(350);
+/// Times that the end of a term is told.
+const END_COPIES: u32 = 2;
 /// Pause after a failed receipt.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(70);
 /// Most entries in one reply; the next one has the rest.
@@ -63,9 +67,20 @@
         }
     }
 
-    /// Tells every host that this one leads, or no longer does, and the owners that
-    /// each does not know.
-    pub(crate) async fn announce(&self, term: u64, is_leading: bool) {
+    /// Tells every host that this one leads, and the owners that each does not know.
+    pub(crate) async fn announce(&self, term: u64) {
+        self.tell_all(term, None).await;
+    }
+
+    /// Tells every host that this one no longer leads and what it leaves behind.
+    pub(crate) async fn announce_end(&self, term: u64, last: LastTerm) {
+        // A successor can take over at once only when it has heard; datagrams get lost.
+        for _ in 0..END_COPIES {
+            self.tell_all(term, Some(last)).await;
+        }
+    }
+
+    async fn tell_all(&self, term: u64, ended: Option<LastTerm>) {
         let told = KnownState {
             owners: self.keeper.owner_versions(),
             entries: self.keeper.entries_version(),
@@ -74,7 +89,7 @@
         let own = self.socket.local_addr().ok();
         targets.retain(|(address, _)| Some(*address) != own);
         for (address, known) in targets {
-            let reply = self.reply(term, is_leading, &known, false, Vec::new());
+            let reply = self.reply(term, ended, &known, false, Vec::new());
             self.send(&PeerMessage::Reply(reply), address).await;
         }
     }
@@ -82,14 +97,14 @@
     fn reply(
         &self,
         term: u64,
-        is_leading: bool,
+        ended: Option<LastTerm>,
         known: &KnownState,
         is_for_standby: bool,
         norms: Vec<WireLoad>,
     ) -> LeaderReply {
         LeaderReply {
             term,
-            is_leading,
+            ended: ended.map(WireLast::from),
             is_live: self.book.is_live(),
             hosts: self.book.hosts().len() as u32,
             suspects: self.suspects(),
@@ -142,6 +157,7 @@
                 .into_iter()
                 .map(WireLoad::from)
                 .collect(),
+            sees_store: self.book.sees_store(),
             known: KnownState {
                 owners: self.keeper.owner_versions(),
                 entries: self.keeper.entries_version(),
@@ -205,7 +221,7 @@
                     if let Some(term) = self.book.leading() {
                         let is_for_standby = self.book.standbys().contains(&report.host);
                         let norms = self.book.next_norms();
-                        let reply = self.reply(term, true, &report.known, is_for_standby, norms);
+                        let reply = self.reply(term, None, &report.known, is_for_standby, norms);
                         self.send(&PeerMessage::Reply(reply), peer).await;
                     }
                 }
--- a/crates/grant/src/lead.rs
+++ b/crates/grant/src/lead.rs
@@ -19,6 +19,10 @@
     pub expires_ms: u64,
     /// Whether the leader gave up its lease with every grant answered.
     pub is_clean: bool,
+    /// For how long after it gave up its lease its grants may be in force, in
+    /// milliseconds; unknown while it leads.
+    #[serde(default)]
+    pub held_for_ms: Option<u64>,
     /// Hosts that the leader has heard from lately.
     pub hosts: u32,
     /// Names of the hosts that look after the lease most often.
@@ -37,6 +41,24 @@
     }
 }
 
+/// What the last leader left behind, as far as its successor knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LastTerm {
+    /// Whether every grant of it was answered.
+    pub is_clean: bool,
+    /// For how long its grants may be in force, if it told.
+    pub held_for: Option<Duration>,
+}
+
+impl From<&LeadRow> for LastTerm {
+    fn from(row: &LeadRow) -> Self {
+        Self {
+            is_clean: row.is_clean,
+            held_for: row.held_for_ms.map(Duration::from_millis),
+        }
+    }
+}
+
 /// A reading of the store's clock, and the leader's own deadline.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LeadTerm {
--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -1,7 +1,7 @@
 //! The leader's state machine: what to write, grant and release.
 
 use crate::balance::{Candidate, assign_orphans, join_neighbours, most_moves, move_for_balance};
-use crate::{GrantTiming, Holder, KeyLoads, OwnedRange, OwnerMap};
+use crate::{GrantTiming, Holder, KeyLoads, LastTerm, OwnedRange, OwnerMap};
 use indexmap::IndexMap;
 use kernel::Moment;
 use std::time::Duration;
@@ -155,15 +155,17 @@
         }
     }
 
-    /// Starts from the row that stands in the store.
+    /// Starts from the row that stands in the store; `last` is what the leader before
+    /// left behind.
     ///
-    /// Unless the leader before ended cleanly, grants of it may be under way.
-    pub fn adopt(&mut self, now: Moment, map: OwnerMap, is_clean: bool) {
+    /// Unless that one ended cleanly, grants of it may be under way.
+    pub fn adopt(&mut self, now: Moment, map: OwnerMap, last: LastTerm) {
         self.epoch = self.epoch.max(map.greatest_epoch());
         // Calls of the leader before may have been on their way for this long.
         let left_by = now + self.timing.call_limit;
-        let held_until = left_by + GrantTiming::bound(self.timing.long_hold);
-        let unanswered_until = if is_clean {
+        let longest = self.timing.call_limit + GrantTiming::bound(self.timing.long_hold);
+        let held_until = now + last.held_for.unwrap_or(longest).min(longest);
+        let unanswered_until = if last.is_clean {
             now
         } else {
             left_by + GrantTiming::bound(self.timing.hold)
@@ -192,6 +194,22 @@
         self.calls.is_empty() && self.holders.values().all(is_answered)
     }
 
+    /// Returns for how long from now on grants of this ledger may be in force if no
+    /// more are sent.
+    pub fn held_for(&self, now: Moment) -> Duration {
+        let mut until = now;
+        for state in self.holders.values() {
+            until = until.max(state.held_until);
+        }
+        for open in self.calls.values() {
+            if let CallKind::Grant { hold, .. } = &open.call.kind {
+                let arrives_by = now + self.timing.call_limit;
+                until = until.max(arrives_by + GrantTiming::bound(*hold));
+            }
+        }
+        until - now
+    }
+
     /// Grants for the longest time from now on, or for the usual one.
     pub fn set_long(&mut self, now: Moment, is_long: bool) {
         if is_long && !self.is_long {
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -11,11 +11,11 @@
 //! can't hold it any longer because every grant sent to it has lapsed.
 //!
 //! ```
-//! use grant::{GrantLedger, GrantTiming, KeyLoads, OwnerMap, Candidate};
+//! use grant::{GrantLedger, GrantTiming, KeyLoads, OwnerMap, Candidate, LastTerm};
 //! use kernel::Moment;
 //!
 //! let mut ledger = GrantLedger::new(GrantTiming::default(), 1);
-//! ledger.adopt(Moment::from_millis(1), OwnerMap::default(), true);
+//! ledger.adopt(Moment::from_millis(1), OwnerMap::default(), LastTerm::default());
 //! let candidates = [Candidate::new("i-1", 7, 4.0), Candidate::new("i-2", 9, 4.0)];
 //! let step = ledger.step(Moment::from_millis(2), &candidates, &KeyLoads::default());
 //! let planned = step.commit.unwrap();
@@ -32,7 +32,7 @@
 mod wire;
 
 pub use balance::Candidate;
-pub use lead::{LeadRow, LeadTerm};
+pub use lead::{LastTerm, LeadRow, LeadTerm};
 pub use ledger::{CallKind, CallReply, GrantCall, GrantLedger, LedgerStep};
 pub use loads::KeyLoads;
 pub use map::{Holder, OwnedRange, OwnerMap};
--- a/crates/grant/src/timing.rs
+++ b/crates/grant/src/timing.rs
@@ -55,12 +55,12 @@
 impl Default for GrantTiming {
     fn default() -> Self {
         Self {
-            hold: Duration::from_secs(4),
+            hold: Duration::from_secs(3),
             long_hold: Duration::from_secs(10),
-            renew: Duration::from_millis(1_200),
+            renew: Duration::from_millis(900),
             call_limit: Duration::from_millis(500),
-            lease: Duration::from_secs(2),
-            lease_renew: Duration::from_millis(650),
+            lease: Duration::from_millis(1_600),
+            lease_renew: Duration::from_millis(450),
             balance_pause: Duration::from_millis(700),
         }
     }
--- a/crates/grant/tests/balance.rs
+++ b/crates/grant/tests/balance.rs
@@ -1,7 +1,8 @@
 //! Keys follow the load, and ranges stay few.
 
 use grant::{
-    CallKind, CallReply, Candidate, GrantLedger, GrantTiming, KeyLoads, LeadRow, LeadTerm, OwnerMap,
+    CallKind, CallReply, Candidate, GrantLedger, GrantTiming, KeyLoads, LastTerm, LeadRow,
+    LeadTerm, OwnerMap,
 };
 use indexmap::IndexMap;
 use kernel::Moment;
@@ -20,7 +21,7 @@
     fn new() -> Self {
         let mut ledger = GrantLedger::new(GrantTiming::default(), 1);
         let now = Moment::from_millis(10_000);
-        ledger.adopt(now, OwnerMap::default(), true);
+        ledger.adopt(now, OwnerMap::default(), LastTerm::default());
         Self {
             ledger,
             now,
@@ -228,6 +229,7 @@
         address: "127.0.0.1:7200".to_owned(),
         expires_ms,
         is_clean: false,
+        held_for_ms: None,
         hosts: 2,
         standbys: Vec::new(),
     }
--- a/crates/grant/tests/ownership.rs
+++ b/crates/grant/tests/ownership.rs
@@ -4,7 +4,7 @@
 
 use grant::{
     CallKind, CallReply, Candidate, GrantCall, GrantLedger, GrantTiming, Holder, KeyLoads,
-    OwnedRange, OwnerMap,
+    LastTerm, OwnedRange, OwnerMap,
 };
 use kernel::Moment;
 use rstest::rstest;
@@ -92,7 +92,11 @@
         earlier: Vec::new(),
     };
     let ranges = vec![range];
-    ledger.adopt(now, OwnerMap { ranges }, true);
+    let last = LastTerm {
+        is_clean: true,
+        held_for: None,
+    };
+    ledger.adopt(now, OwnerMap { ranges }, last);
     let candidates = [Candidate::new("i-2", 1, 4.0)];
     let planned = ledger.step(now, &candidates, &KeyLoads::default());
     assert!(planned.commit.is_some());
--- a/crates/grant/tests/world/mod.rs
+++ b/crates/grant/tests/world/mod.rs
@@ -3,7 +3,8 @@
 
 use fastrand::Rng;
 use grant::{
-    CallKind, CallReply, Candidate, GrantCall, GrantLedger, GrantTiming, Holder, KeyLoads, OwnerMap,
+    CallKind, CallReply, Candidate, GrantCall, GrantLedger, GrantTiming, Holder, KeyLoads,
+    LastTerm, OwnerMap,
 };
 use indexmap::IndexMap;
 use kernel::Moment;
@@ -172,11 +173,20 @@
         self.upstreams[index].is_leaving = true;
     }
 
+    /// Lets another leader take over, half of the time from one that resigns.
     pub fn replace_leader(&mut self) {
+        let last = if self.rng.bool() {
+            LastTerm {
+                is_clean: self.ledger.is_clean(self.now),
+                held_for: Some(self.ledger.held_for(self.now)),
+            }
+        } else {
+            LastTerm::default()
+        };
         self.leader += 1;
         self.leaders += 1;
         self.ledger = GrantLedger::new(self.timing, self.leader);
-        self.ledger.adopt(self.now, self.stored.clone(), false);
+        self.ledger.adopt(self.now, self.stored.clone(), last);
         self.known_version = self.stored_version;
         // The same host may lead again and then gets the answers to its earlier calls.
         if self.rng.bool() {
