Free keys of a restarted upstream by a release, not by its later start

Cause: an upstream that starts again under its id and address takes renewals that are meant for its earlier run, and holds those keys for as long as any other. The ledger took the earlier run as ended once it saw the later one and granted the keys to others at once. The model had such calls refused; upstreams can't tell.

--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -225,9 +225,6 @@
     /// Returns what to write and which calls to make now.
     pub fn step(&mut self, now: Moment, candidates: &[Candidate], loads: &KeyLoads) -> LedgerStep {
         let usable = self.usable(candidates);
-        for candidate in candidates {
-            self.note_present_run(&candidate.holder);
-        }
         let mut step = LedgerStep {
             commit: self.plan(now, &usable, loads),
             calls: Vec::new(),
@@ -330,15 +327,6 @@
         self.work.shift_remove(key);
     }
 
-    /// Marks earlier runs of a restarted upstream as ended.
-    fn note_present_run(&mut self, present: &Holder) {
-        for (holder, state) in &mut self.holders {
-            if holder.upstream == present.upstream && holder.run < present.run {
-                state.has_ended = true;
-            }
-        }
-    }
-
     /// Returns the candidates that can be reached.
     fn usable(&self, candidates: &[Candidate]) -> Vec<Candidate> {
         let is_usable = |candidate: &&Candidate| {
--- a/crates/grant/tests/world/mod.rs
+++ b/crates/grant/tests/world/mod.rs
@@ -287,9 +287,7 @@
     fn land(&mut self, flight: &Flight) -> Option<CallReply> {
         let call = &flight.call;
         let upstream = self.upstreams.get_mut(call.holder.upstream.as_str())?;
-        if upstream.run != call.holder.run {
-            return Some(CallReply::Ended);
-        }
+        // A later run at the same address can't tell for which one a call is meant.
         match &call.kind {
             CallKind::Grant { hold, .. } => {
                 let is_old = upstream.seen.iter().any(|(first, last, epoch)| {
