Tell hosts apart that drew the same run; free keys of reused addresses at once

Hosts that start together seeded their random numbers by the time, and so alike. The row's owner is now host, address and run; draws depend on the host. Test: is_of_tells_hosts_apart_that_drew_the_ same_run.

Test: note_ended_frees_keys_without_waiting_for_the_lease.

A leader that yields names its successor, any host that reports that it reaches the store; about three hosts besides the standbys look. Store calls are counted by call and table on the metrics page.

--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -120,7 +120,7 @@
         200 => CallReply::Granted,
         409 => CallReply::Superseded,
         421 => CallReply::Ended,
-        _ => CallReply::Rejected,
+        status => CallReply::Rejected(status),
     };
     let reply = match (reply, handover) {
         (CallReply::Granted, Some(token)) => CallReply::Released(Some(token)),
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -3,6 +3,7 @@
 use crate::adapter::{FrontSettings, UserPlatform};
 use crate::control::GrantCaller;
 use crate::dispatch::Dispatcher;
+use crate::draw::DrawSource;
 use crate::metrics::FrontMetrics;
 use crate::peers::PeerBook;
 use crate::reports::ReportLink;
@@ -10,8 +11,8 @@
 use async_channel::{Receiver, Sender, unbounded};
 use async_std::future::timeout;
 use grant::{
-    CallReply, Candidate, GrantCall, GrantLedger, GrantTiming, Holder, LastTerm, LeadRow, LeadTerm,
-    OwnerMap,
+    CallReply, Candidate, GrantCall, GrantLedger, GrantTiming, Holder, LastTerm, LeadClaimant,
+    LeadRow, LeadTerm, OwnerMap,
 };
 use indexmap::IndexMap;
 use kernel::{Clock, Moment, ServiceName, TaskScope};
@@ -38,6 +39,8 @@
 const STANDBY_SILENCE: Duration = Duration::from_millis(800);
 /// How often it looks then; grants are to outlast the lease and one such pause.
 const STANDBY_POLL: Duration = Duration::from_millis(300);
+/// Times that the pause between two looks doubles while the store does not answer.
+const MOST_DOUBLINGS: u32 = 2;
 /// Silence of the leader after which other hosts look; it may have lost the lease
 /// and the datagrams with the news.
 const OTHER_SILENCE: Duration = Duration::from_millis(2_500);
@@ -62,6 +65,9 @@
 const LAST_RENEWAL: Duration = Duration::from_millis(700);
 /// Longest time for a call to the store on which the lease depends.
 const STORE_LIMIT: Duration = Duration::from_millis(600);
+/// Addresses of upstreams that are kept, gone ones too; twice those of a large
+/// deployment.
+const MOST_ADDRESSES: usize = 4_096;
 /// Range of an upstream's speed against the average that is believed.
 const SPEED_RANGE: (f64, f64) = (0.3, 3.0);
 
@@ -83,6 +89,7 @@
     pub metrics: FrontMetrics,
     pub scope: TaskScope,
     pub is_stopping: Arc<AtomicBool>,
+    pub draw: Arc<DrawSource>,
 }
 
 /// Looks after the lease, and leads while it holds it.
@@ -91,6 +98,7 @@
     parts: LeaderParts,
     timing: GrantTiming,
     run: u64,
+    address: String,
     term: LeadTerm,
     row: Option<LeadRow>,
     row_version: u64,
@@ -100,10 +108,15 @@
     written_version: u64,
     ledgers: IndexMap<ServiceName, GrantLedger>,
     owner_versions: IndexMap<ServiceName, u64>,
-    addresses: IndexMap<Holder, SocketAddr>,
+    /// Addresses of upstreams, those whose entries are gone too, and when each entry
+    /// was first seen.
+    addresses: IndexMap<Holder, (SocketAddr, Moment)>,
+    /// Version of the entries from which the addresses were last learnt.
+    addresses_version: u64,
     events: Receiver<LedgerEvent>,
     sender: Sender<LedgerEvent>,
     polls: u32,
+    failed_polls: u32,
     renew_at: Moment,
     step_at: Moment,
     crowd: (usize, Moment),
@@ -124,8 +137,8 @@
         let (sender, events) = unbounded();
         Self {
             timing: GrantTiming::with_longest_hold(parts.settings.bounds.longest_hold),
-            // Epochs must not depend on a clock, but a run's name may.
-            run: kernel::wall_clock_ms() << 10 | fastrand::u64(..1 << 10),
+            run: parts.draw.number(),
+            address: parts.settings.internal.to_string(),
             term: LeadTerm::default(),
             row: None,
             row_version: 0,
@@ -134,9 +147,11 @@
             ledgers: IndexMap::new(),
             owner_versions: IndexMap::new(),
             addresses: IndexMap::new(),
+            addresses_version: 0,
             events,
             sender,
             polls: 0,
+            failed_polls: 0,
             renew_at: Moment::ZERO,
             step_at: Moment::ZERO,
             crowd: (0, Moment::ZERO),
@@ -163,6 +178,7 @@
                 return;
             }
             let now = self.now();
+            self.learn_addresses();
             let is_leading = self.term.is_valid(now);
             self.note_change(is_leading);
             if is_leading {
@@ -187,11 +203,14 @@
 
     fn hears_leader(&self) -> bool {
         let book = &self.parts.book;
-        if book.is_standby() {
-            // A leader without the store is to learn whether this host reaches it.
-            return book.is_told_entries(STANDBY_SILENCE);
-        }
-        book.hears_leader(OTHER_SILENCE)
+        let silence = if book.is_standby() {
+            STANDBY_SILENCE
+        } else {
+            OTHER_SILENCE
+        };
+        // A leader without the store is to learn whether others reach it.
+        let is_asked = book.is_helper() && !book.is_leader_live();
+        book.hears_leader(silence) && !is_asked
     }
 
     fn note_change(&mut self, is_leading: bool) {
@@ -227,28 +246,33 @@
         let Some(row) = &self.row else {
             return STANDBY_POLL;
         };
-        if self.parts.book.is_standby() || self.polls < FIRST_POLLS {
-            return STANDBY_POLL;
+        if self.parts.book.is_helper() || self.polls < FIRST_POLLS {
+            return STANDBY_POLL * (1 << self.failed_polls.min(MOST_DOUBLINGS));
         }
         let crowding = f64::from(row.hosts.max(POLL_HOSTS)) / f64::from(POLL_HOSTS);
-        OTHER_POLL.mul_f64(crowding * (0.8 + 0.4 * fastrand::f64()))
+        OTHER_POLL.mul_f64(crowding * (0.8 + 0.4 * self.parts.draw.fraction()))
     }
 
     /// Reads the lease, and takes it when nobody holds it.
     async fn poll(&mut self) {
         self.polls = self.polls.saturating_add(1);
         if !self.read_row().await {
+            self.failed_polls = self.failed_polls.saturating_add(1);
             return;
         }
+        self.failed_polls = 0;
         let store_now = self.store_now_ms;
-        let name = &self.parts.settings.name;
-        let is_own = self
-            .row
-            .as_ref()
-            .is_some_and(|row| row.run == self.run && self.yielded_term != Some(row.term));
-        let may_take = self.row.as_ref().is_none_or(|row| {
-            let has_resigned = self.parts.book.ended(row.term).is_some();
-            has_resigned || row.may_be_taken(name, self.run, store_now)
+        let claimant = LeadClaimant {
+            host: &self.parts.settings.name,
+            address: &self.address,
+            run: self.run,
+        };
+        let row = self.row.as_ref();
+        let is_own =
+            row.is_some_and(|row| row.is_of(&claimant) && self.yielded_term != Some(row.term));
+        let may_take = row.is_none_or(|row| {
+            let has_ended = self.parts.book.ended(row.term).is_some();
+            has_ended || row.may_be_taken(&claimant, store_now)
         });
         // At a start all hosts look at once; a strong one is to lead.
         let is_weak = self.parts.settings.millicores < STRONG_MILLICORES;
@@ -336,6 +360,8 @@
             ledger.adopt(now, map, last);
             self.ledgers.insert(service, ledger);
         }
+        // The new ledgers are to learn of holders that have ended.
+        self.addresses_version = 0;
         info!(
             target: "lead",
             "state=taken term={term} clean={} held_for_ms={} services={}",
@@ -465,7 +491,7 @@
             term,
             host: settings.name.clone(),
             run: self.run,
-            address: settings.internal.to_string(),
+            address: self.address.clone(),
             expires_ms,
             is_clean: last.is_clean,
             held_for_ms: last.held_for.map(|held| held.as_millis() as u64),
@@ -569,7 +595,10 @@
             }
         }
         for (service, call) in calls {
-            let address = self.addresses.get(&call.holder).copied();
+            let address = self
+                .addresses
+                .get(&call.holder)
+                .map(|(address, _)| *address);
             let caller = self.parts.caller.clone();
             let sender = self.sender.clone();
             let valid_until = self.term.valid_until();
@@ -631,6 +660,47 @@
         count > 0 && now - self.crowd.1 >= SETTLE
     }
 
+    /// Learns the addresses of all upstreams when entries have changed, and which
+    /// holders of keys have ended because another upstream has their address.
+    fn learn_addresses(&mut self) {
+        let version = self.parts.keeper.entries_version();
+        if version == self.addresses_version {
+            return;
+        }
+        self.addresses_version = version;
+        let view = self.parts.dispatcher.parts.view.load();
+        if self.addresses.len() > MOST_ADDRESSES {
+            self.addresses.clear();
+        }
+        let mut latest: IndexMap<SocketAddr, (Holder, Moment)> = IndexMap::new();
+        for (id, known) in view.upstreams.iter() {
+            let holder = Holder {
+                upstream: id.clone(),
+                run: known.entry.started_at_ms,
+            };
+            let place = (known.entry.address, known.seen_at);
+            self.addresses.insert(holder.clone(), place);
+            let user = (holder, known.seen_at);
+            let present = latest.entry(place.0).or_insert_with(|| user.clone());
+            if present.1 < user.1 {
+                *present = user;
+            }
+        }
+        let addresses = &self.addresses;
+        let has_ended = |holder: &Holder| {
+            let Some((address, seen_at)) = addresses.get(holder) else {
+                return false;
+            };
+            // Clocks of upstreams may be wrong; the order of their entries has to agree.
+            latest.get(address).is_some_and(|(user, user_seen_at)| {
+                user.upstream != holder.upstream && user.run > holder.run && user_seen_at > seen_at
+            })
+        };
+        for ledger in self.ledgers.values_mut() {
+            ledger.note_ended(has_ended);
+        }
+    }
+
     fn candidates(&mut self, now: Moment, service: &ServiceName) -> Vec<Candidate> {
         let dispatch = &self.parts.dispatcher.parts;
         let view = dispatch.view.load();
@@ -643,7 +713,6 @@
                 upstream: id.clone(),
                 run: known.entry.started_at_ms,
             };
-            self.addresses.insert(holder.clone(), known.entry.address);
             if known.is_staying() || known.takes_new_work(now) {
                 let service_ms = self.parts.book.service_ms(id.as_str()).unwrap_or(0.0);
                 measured.push((holder, known.entry.slots, known.is_staying(), service_ms));
@@ -669,19 +738,25 @@
         candidates.collect()
     }
 
-    /// Leaves the lease to a standby that reaches the store when this host does not;
-    /// returns whether it did.
+    /// Leaves the lease to a host that reaches the store when this one does not; returns
+    /// whether it did.
     async fn yield_lease(&mut self, now: Moment) -> bool {
         let is_failing = self
             .failing_since
             .is_some_and(|since| now - since >= YIELD_AFTER);
-        if !is_failing || !self.parts.book.is_store_seen_by_standby() {
+        let successor = self.parts.book.successor().filter(|_| is_failing);
+        let Some(successor) = successor else {
             return false;
-        }
+        };
         let (term, last) = self.end_term(now);
         self.yielded_term = Some(term);
-        self.parts.link.announce_end(term, last).await;
-        info!(target: "lead", "state=yielded term={term} clean={}", last.is_clean);
+        let link = &self.parts.link;
+        link.announce_end(term, last, Some(&successor)).await;
+        info!(
+            target: "lead",
+            "state=yielded term={term} clean={} successor={successor}",
+            last.is_clean,
+        );
         true
     }
 
@@ -718,7 +793,7 @@
         let row = self.lead_row(term, 0, last);
         let (write, _) = self.row_write(&row, &[]);
         let written = timeout(STORE_LIMIT, self.parts.store.write(&write)).await;
-        self.parts.link.announce_end(term, last).await;
+        self.parts.link.announce_end(term, last, None).await;
         info!(
             target: "lead",
             "state=resigned term={term} clean={} written={}",
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -18,7 +18,7 @@
 pub(crate) const DATAGRAM_BYTES: usize = 60 << 10;
 /// First byte of every message; another one is another format, of a version of the
 /// program that is being replaced.
-const FORMAT: u8 = 3;
+const FORMAT: u8 = 4;
 
 /// A datagram that holds no message.
 #[derive(Debug)]
@@ -191,6 +191,8 @@
     pub term: u64,
     /// What the sender leaves behind when it no longer leads.
     pub ended: Option<WireLast>,
+    /// The host that is to take over from a sender that no longer leads.
+    pub successor: Option<String>,
     /// Whether the sender hears of changed entries from the store.
     pub is_live: bool,
     pub hosts: u32,
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -18,6 +18,8 @@
     latency: HistogramVec,
     /// Sends after a request's first.
     pub retries: IntCounter,
+    /// Calls to the store, by call and table.
+    pub store_calls: IntCounterVec,
     /// Failed calls to the store.
     pub store_failures: IntCounter,
     /// Whether this host leads.
@@ -43,6 +45,11 @@
                 .buckets(LATENCY_BUCKETS.to_vec()),
             &["rank"],
         )?;
+        let store_calls = IntCounterVec::new(
+            Opts::new("trestle_store_calls_total", "Calls to the platform's store"),
+            &["call", "table"],
+        )?;
+        registry.register(Box::new(store_calls.clone()))?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
         let counter = |name: &str, help: &str| -> prometheus::Result<IntCounter> {
@@ -59,6 +66,7 @@
             requests,
             latency,
             retries: counter("trestle_retries_total", "Sends after a request's first")?,
+            store_calls,
             store_failures: counter("trestle_store_failures_total", "Failed store calls")?,
             is_leader: gauge("trestle_is_leader", "1 while this host grants keys")?,
             sheet_version: gauge("trestle_sheet_version", "Version of the sheet in force")?,
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -1,5 +1,6 @@
 //! What the leader knows of the other hosts, and all of the leader.
 
+use crate::draw::DrawSource;
 use crate::message::{HostReport, KnownState, LeaderReply, WireLoad};
 use grant::{KeyLoads, LastTerm};
 use indexmap::IndexMap;
@@ -15,6 +16,9 @@
 /// For which an answer of the store, or a standby's word of one, counts; a standby
 /// looks at the store and reports three times in it.
 const STORE_SEEN: Duration = Duration::from_millis(900);
+/// Hosts, on average, that look at the store besides the standbys while the leader does
+/// not reach it.
+const MORE_HELPERS: u32 = 3;
 /// Most speeds of upstreams in one reply.
 const MOST_NORMS: usize = 40;
 /// Age at which the list of unusual upstreams is made anew; hosts report as often.
@@ -48,6 +52,7 @@
 #[derive(Debug)]
 pub(crate) struct PeerBook {
     clock: Arc<dyn Clock>,
+    draw: Arc<DrawSource>,
     state: Mutex<PeerState>,
 }
 
@@ -57,6 +62,8 @@
     term: u64,
     heard_at: Option<Moment>,
     is_standby: bool,
+    /// Whether this host looks at the store while the leader does not reach it.
+    is_helper: bool,
     /// The last term whose end was told, what was left behind, and when it was told.
     ended: Option<(u64, LastTerm, Moment)>,
     /// Whether the end of a term was told since the last look at it.
@@ -83,15 +90,17 @@
 }
 
 impl PeerBook {
-    pub(crate) fn new(clock: Arc<dyn Clock>) -> Self {
+    pub(crate) fn new(clock: Arc<dyn Clock>, draw: Arc<DrawSource>) -> Self {
         let faded_at = clock.now();
         Self {
             clock,
+            draw,
             state: Mutex::new(PeerState {
                 leader: None,
                 term: 0,
                 heard_at: None,
                 is_standby: false,
+                is_helper: false,
                 ended: None,
                 is_end_new: false,
                 store_seen_at: None,
@@ -156,15 +165,34 @@
         seen_at.is_some_and(|at| now - at < STORE_SEEN)
     }
 
-    /// Returns whether a standby has reported lately that it reaches the store.
-    pub(crate) fn is_store_seen_by_standby(&self) -> bool {
+    /// Returns a host that has reported lately that it reaches the store, a standby if
+    /// one has.
+    pub(crate) fn successor(&self) -> Option<String> {
         let now = self.clock.now();
         let state = self.state.lock();
-        let mut standbys = state
+        let can_lead = |host: &KnownHost| {
+            host.sees_store
+                && now - host.heard_at < STORE_SEEN
+                && Some(host.address) != state.leader
+        };
+        let standbys = state
             .standbys
             .iter()
-            .filter_map(|name| state.hosts.get(name));
-        standbys.any(|host| host.sees_store && now - host.heard_at < STORE_SEEN)
+            .filter_map(|name| state.hosts.get_key_value(name));
+        let mut candidates = standbys.chain(&state.hosts);
+        let found = candidates.find(|(_, host)| can_lead(host));
+        found.map(|(name, _)| name.clone())
+    }
+
+    /// Returns whether this host looks at the store while the leader does not reach it.
+    pub(crate) fn is_helper(&self) -> bool {
+        let state = self.state.lock();
+        state.is_standby || state.is_helper
+    }
+
+    /// Returns whether the leader hears of changed entries from the store.
+    pub(crate) fn is_leader_live(&self) -> bool {
+        self.state.lock().is_leader_live
     }
 
     /// Notes whether this host hears of changed entries from the store.
@@ -220,12 +248,20 @@
         if let Some(last) = reply.ended {
             if state.ended.is_none_or(|(term, ..)| term < reply.term) {
                 state.ended = Some((reply.term, last.into(), now));
-                // The others wait for the standby to tell them; all would look at once.
-                state.is_end_new = state.is_standby;
+                // The others wait for the successor to tell them; all would look at once.
+                state.is_end_new = match &reply.successor {
+                    Some(successor) => successor == own,
+                    None => state.is_standby,
+                };
             }
             return true;
         }
         state.leader = Some(from);
+        if state.is_leader_live != reply.is_live {
+            // Some more than the standbys, which the store may have turned away as well.
+            let is_drawn = self.draw.below(reply.hosts.max(1)) < MORE_HELPERS;
+            state.is_helper = state.is_standby || is_drawn;
+        }
         state.is_leader_live = reply.is_live;
         state.heard_at = Some(now);
         true
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -72,15 +72,16 @@
         self.tell_all(term, None).await;
     }
 
-    /// Tells every host that this one no longer leads and what it leaves behind.
-    pub(crate) async fn announce_end(&self, term: u64, last: LastTerm) {
+    /// Tells every host that this one no longer leads, what it leaves behind, and who
+    /// is to take over.
+    pub(crate) async fn announce_end(&self, term: u64, last: LastTerm, successor: Option<&str>) {
         // A successor can take over at once only when it has heard; datagrams get lost.
         for _ in 0..END_COPIES {
-            self.tell_all(term, Some(last)).await;
+            self.tell_all(term, Some((last, successor))).await;
         }
     }
 
-    async fn tell_all(&self, term: u64, ended: Option<LastTerm>) {
+    async fn tell_all(&self, term: u64, ended: Option<(LastTerm, Option<&str>)>) {
         let told = KnownState {
             owners: self.keeper.owner_versions(),
             entries: self.keeper.entries_version(),
@@ -97,14 +98,15 @@
     fn reply(
         &self,
         term: u64,
-        ended: Option<LastTerm>,
+        ended: Option<(LastTerm, Option<&str>)>,
         known: &KnownState,
         is_for_standby: bool,
         norms: Vec<WireLoad>,
     ) -> LeaderReply {
         LeaderReply {
             term,
-            ended: ended.map(WireLast::from),
+            ended: ended.map(|(last, _)| WireLast::from(last)),
+            successor: ended.and_then(|(_, successor)| successor.map(str::to_owned)),
             is_live: self.book.is_live(),
             hosts: self.book.hosts().len() as u32,
             suspects: self.suspects(),
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -4,7 +4,9 @@
 use crate::budgets::RetryBudgets;
 use crate::clients::ClientServer;
 use crate::control::GrantCaller;
+use crate::counted::CountedStore;
 use crate::dispatch::{DispatchParts, Dispatcher};
+use crate::draw::DrawSource;
 use crate::exchange::Exchanger;
 use crate::leader::{LeaderLoop, LeaderParts};
 use crate::metrics::FrontMetrics;
@@ -29,6 +31,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
+use store::RowStore;
 
 /// For which a stopping host still takes new work; the balancer asks every second
 /// and takes a host out after two misses.
@@ -136,25 +139,32 @@
 struct HostParts {
     settings: FrontSettings,
     platform: Arc<dyn UserPlatform>,
+    store: Arc<dyn RowStore>,
     clock: Arc<dyn Clock>,
     metrics: FrontMetrics,
     scope: TaskScope,
     is_stopping: Arc<AtomicBool>,
     view: Arc<ViewCell>,
     book: Arc<PeerBook>,
+    draw: Arc<DrawSource>,
 }
 
 impl HostParts {
     fn new(loaded: LoadedPlatform) -> Result<Self, StartFailure> {
         let clock: Arc<dyn Clock> = Arc::new(BootClock);
+        let metrics = FrontMetrics::register().map_err(StartFailure::Metrics)?;
+        let draw = Arc::new(DrawSource::new(&loaded.settings, kernel::wall_clock_ms()));
+        let calls = metrics.store_calls.clone();
         Ok(Self {
             settings: loaded.settings,
+            store: Arc::new(CountedStore::new(loaded.platform.store(), calls)),
             platform: loaded.platform,
-            metrics: FrontMetrics::register().map_err(StartFailure::Metrics)?,
+            metrics,
             scope: TaskScope::new(),
             is_stopping: Arc::new(AtomicBool::new(false)),
             view: Arc::new(ViewCell::default()),
-            book: Arc::new(PeerBook::new(Arc::clone(&clock))),
+            book: Arc::new(PeerBook::new(Arc::clone(&clock), Arc::clone(&draw))),
+            draw,
             clock,
         })
     }
@@ -169,6 +179,7 @@
         Arc::new(ViewKeeper::new(
             Arc::clone(&self.platform),
             Arc::clone(&self.clock),
+            Arc::clone(&self.draw),
             Arc::clone(&self.view),
             self.metrics.clone(),
             timing,
@@ -179,7 +190,7 @@
         Dispatcher {
             parts: Arc::new(DispatchParts {
                 view: Arc::clone(&self.view),
-                place: Mutex::new(PlaceBook::new(fastrand::u64(..))),
+                place: Mutex::new(PlaceBook::new(self.draw.number())),
                 moves: Mutex::new(MoveWaits::default()),
                 exchanger: Exchanger {
                     pool: ConnectionPool::default(),
@@ -211,7 +222,7 @@
     }
 
     fn spawn_watchers(&self, keeper: &Arc<ViewKeeper>) {
-        let store = self.platform.store();
+        let store = Arc::clone(&self.store);
         let tables = self.platform.tables().clone();
         let watched = [
             (WatchedTable::Sheet, tables.sheet),
@@ -242,7 +253,7 @@
             timing: GrantTiming::with_longest_hold(self.settings.bounds.longest_hold),
         };
         let leader = LeaderLoop::new(LeaderParts {
-            store: self.platform.store(),
+            store: Arc::clone(&self.store),
             platform: Arc::clone(&self.platform),
             keeper,
             dispatcher,
@@ -254,6 +265,7 @@
             metrics: self.metrics.clone(),
             scope: self.scope.clone(),
             is_stopping: Arc::clone(&self.is_stopping),
+            draw: Arc::clone(&self.draw),
         });
         self.scope.spawn(leader.run());
     }
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -1,6 +1,7 @@
 //! Keeps sheet, upstreams and owners as the store has them.
 
 use crate::adapter::UserPlatform;
+use crate::draw::DrawSource;
 use crate::message::OwnerNews;
 use crate::metrics::FrontMetrics;
 use crate::peers::PeerBook;
@@ -53,6 +54,7 @@
 pub(crate) struct ViewKeeper {
     platform: Arc<dyn UserPlatform>,
     clock: Arc<dyn Clock>,
+    draw: Arc<DrawSource>,
     cell: Arc<ViewCell>,
     metrics: FrontMetrics,
     state: Mutex<KeeperState>,
@@ -75,6 +77,7 @@
     pub(crate) fn new(
         platform: Arc<dyn UserPlatform>,
         clock: Arc<dyn Clock>,
+        draw: Arc<DrawSource>,
         cell: Arc<ViewCell>,
         metrics: FrontMetrics,
         timing: FleetTiming,
@@ -82,6 +85,7 @@
         Self {
             platform,
             clock,
+            draw,
             cell,
             metrics,
             state: Mutex::new(KeeperState {
@@ -490,7 +494,7 @@
                 if table == WatchedTable::Entries {
                     book.set_live(false);
                 }
-                async_std::task::sleep(pause.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
+                async_std::task::sleep(pause.mul_f64(0.75 + 0.5 * keeper.draw.fraction())).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
             }
         }
@@ -515,6 +519,6 @@
                 Err(error) => keeper.note_outage(&error),
             }
         }
-        async_std::task::sleep(OWNER_POLL.mul_f64(0.8 + 0.4 * fastrand::f64())).await;
+        async_std::task::sleep(OWNER_POLL.mul_f64(0.8 + 0.4 * keeper.draw.fraction())).await;
     }
 }
--- a/crates/grant/src/lead.rs
+++ b/crates/grant/src/lead.rs
@@ -31,16 +31,39 @@
 }
 
 impl LeadRow {
-    /// Returns whether host `host` in its run `run` may take the lease at
-    /// `store_now_ms`, which must be a reading of the store's clock and no estimate:
-    /// one that runs ahead would make two leaders.
+    /// Returns whether `claimant` wrote the row.
+    pub fn is_of(&self, claimant: &LeadClaimant<'_>) -> bool {
+        self.is_of_host(claimant) && self.run == claimant.run
+    }
+
+    /// Returns whether `claimant` may take the lease at `store_now_ms`, which must be a
+    /// reading of the store's clock and no estimate: one that runs ahead would make two
+    /// leaders.
     ///
     /// An earlier run of the same host has ended, so its lease is void.
-    pub fn may_be_taken(&self, host: &str, run: u64, store_now_ms: u64) -> bool {
-        self.expires_ms <= store_now_ms || (self.host == host && self.run != run)
+    pub fn may_be_taken(&self, claimant: &LeadClaimant<'_>, store_now_ms: u64) -> bool {
+        let is_earlier_run = self.is_of_host(claimant) && self.run != claimant.run;
+        self.expires_ms <= store_now_ms || is_earlier_run
+    }
+
+    fn is_of_host(&self, claimant: &LeadClaimant<'_>) -> bool {
+        self.host == claimant.host && self.address == claimant.address
     }
 }
 
+/// A run of a host's process that asks for the lease.
+///
+/// A run alone names nobody: hosts that start together can draw the same number.
+#[derive(Clone, Copy, Debug)]
+pub struct LeadClaimant<'a> {
+    /// Name of the host.
+    pub host: &'a str,
+    /// Where it takes load reports, as `ip:port`.
+    pub address: &'a str,
+    /// Which run of its process it is.
+    pub run: u64,
+}
+
 /// What the last leader left behind, as far as its successor knows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LastTerm {
--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -71,8 +71,8 @@
     Reached,
     /// The call was sent and not answered.
     Unanswered,
-    /// The upstream refused the call for another reason.
-    Rejected,
+    /// The upstream refused the call for another reason; with the status it gave.
+    Rejected(u16),
 }
 
 /// What follows from one step.
@@ -183,6 +183,14 @@
         self.set_map(now, map);
     }
 
+    /// Notes which holders have ended, as something but a call has shown: an address
+    /// is given to another upstream only after its holder is gone.
+    pub fn note_ended(&mut self, has_ended: impl Fn(&Holder) -> bool) {
+        for (holder, state) in &mut self.holders {
+            state.has_ended |= has_ended(holder);
+        }
+    }
+
     /// Returns the row as it was last committed.
     pub const fn map(&self) -> &OwnerMap {
         &self.map
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -32,7 +32,7 @@
 mod wire;
 
 pub use balance::Candidate;
-pub use lead::{LastTerm, LeadRow, LeadTerm};
+pub use lead::{LastTerm, LeadClaimant, LeadRow, LeadTerm};
 pub use ledger::{CallKind, CallReply, GrantCall, GrantLedger, LedgerStep};
 pub use loads::KeyLoads;
 pub use map::{Holder, OwnedRange, OwnerMap};
--- a/crates/grant/tests/balance.rs
+++ b/crates/grant/tests/balance.rs
@@ -1,8 +1,8 @@
 //! Keys follow the load, and ranges stay few.
 
 use grant::{
-    CallKind, CallReply, Candidate, GrantLedger, GrantTiming, KeyLoads, LastTerm, LeadRow,
-    LeadTerm, OwnerMap,
+    CallKind, CallReply, Candidate, GrantLedger, GrantTiming, KeyLoads, LastTerm, LeadClaimant,
+    LeadRow, LeadTerm, OwnerMap,
 };
 use indexmap::IndexMap;
 use kernel::Moment;
@@ -235,16 +235,34 @@
     }
 }
 
+fn claimant(host: &str, run: u64) -> LeadClaimant<'_> {
+    LeadClaimant {
+        host,
+        address: "127.0.0.1:7200",
+        run,
+    }
+}
+
 #[test]
 fn may_be_taken_waits_for_the_lease_of_another_host() {
-    assert!(!row(5_000).may_be_taken("front-2", 9, 4_999));
-    assert!(row(5_000).may_be_taken("front-2", 9, 5_000));
+    let other = claimant("front-2", 9);
+    assert!(!row(5_000).may_be_taken(&other, 4_999));
+    assert!(row(5_000).may_be_taken(&other, 5_000));
 }
 
 #[test]
 fn may_be_taken_at_once_by_a_later_run_of_the_same_host() {
-    assert!(row(5_000).may_be_taken("front-1", 8, 1_000));
-    assert!(!row(5_000).may_be_taken("front-1", 7, 1_000));
+    assert!(row(5_000).may_be_taken(&claimant("front-1", 8), 1_000));
+    assert!(!row(5_000).may_be_taken(&claimant("front-1", 7), 1_000));
+}
+
+#[test]
+fn is_of_tells_hosts_apart_that_drew_the_same_run() {
+    assert!(row(5_000).is_of(&claimant("front-1", 7)));
+    assert!(!row(5_000).is_of(&claimant("front-1", 8)));
+    let other = claimant("front-2", 7);
+    assert!(!row(5_000).is_of(&other));
+    assert!(!row(5_000).may_be_taken(&other, 4_999));
 }
 
 #[test]
--- a/crates/grant/tests/ownership.rs
+++ b/crates/grant/tests/ownership.rs
@@ -126,6 +126,20 @@
     assert_eq!(step.calls.len(), 1);
 }
 
+#[test]
+fn note_ended_frees_keys_without_waiting_for_the_lease() {
+    let now = Moment::from_millis(1_000);
+    let (mut ledger, release) = ask_for_release(now, 1);
+    // Another service's upstream answers at the address, and knows no such call.
+    ledger.note_reply(now, &release, CallReply::Rejected(404));
+    let candidates = [Candidate::new("i-2", 1, 4.0)];
+    let later = now + Duration::from_millis(200);
+    ledger.note_ended(|holder| holder.upstream.as_str() == "i-1");
+    let step = ledger.step(later, &candidates, &KeyLoads::default());
+    let granted = step.calls.iter().map(|call| call.holder.upstream.as_str());
+    assert_eq!(granted.collect::<Vec<_>>(), ["i-2"]);
+}
+
 #[test]
 fn step_calls_on_a_full_link_have_one_holder() {
     let trouble = Trouble {
