Read the store less often; tell each host of entries once; lead by link as well

Change: looks are spread and back off, feeds gather for 0.7 s, messages of entries name what they build on and are encoded once for hosts that know the same; a host's strength counts its link.

--- a/crates/front/src/adapter.rs
+++ b/crates/front/src/adapter.rs
@@ -25,10 +25,25 @@
     pub internal: SocketAddr,
     /// Its processor, in thousandths of a core.
     pub millicores: u32,
+    /// Bandwidth of its link, in Mbit/s.
+    pub link_mbps: u32,
     /// Waits and limits that the deployment sets.
     pub bounds: FrontBounds,
 }
 
+/// Processor, in thousandths of a core, that a leader needs beside each Mbit/s of its
+/// link: one of 130 thousandths and 50 Mbit/s is short of neither with 140 hosts.
+const MILLICORES_PER_MBPS: f64 = 2.6;
+
+impl FrontSettings {
+    /// Returns how well the host can lead: its processor in thousandths of a core, or
+    /// less where its link is narrow.
+    pub(crate) fn strength(&self) -> u32 {
+        let by_link = f64::from(self.link_mbps) * MILLICORES_PER_MBPS;
+        self.millicores.min(by_link as u32)
+    }
+}
+
 /// Waits and limits that a deployment sets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FrontBounds {
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -25,9 +25,9 @@
 
 /// Between two steps of the ledgers when nothing happens.
 const TICK: Duration = Duration::from_millis(100);
-/// Processor from which a host leads without waiting for a stronger one, in
-/// thousandths of a core; control of 300 upstreams takes about a tenth of it.
-const STRONG_MILLICORES: u32 = 130;
+/// Strength from which a host leads without waiting for a stronger one, in thousandths
+/// of a core; control of 300 upstreams takes about a tenth of it.
+const LEADING_STRENGTH: u32 = 130;
 /// Shortest time between two steps of the ledgers, so that replies which come
 /// together lead to one write.
 const STEP_PAUSE: Duration = Duration::from_millis(40);
@@ -49,12 +49,13 @@
 /// Hosts above which the others look less often, so that all of them together
 /// make no more calls.
 const POLL_HOSTS: u32 = 20;
-/// Looks after a start that come as often as a standby's.
-const FIRST_POLLS: u32 = 4;
+/// How often hosts look, on average, while there is no lease yet; at a start all of
+/// them look, and one of them soon finds that the sheet is there.
+const FIRST_POLL: Duration = Duration::from_millis(600);
+/// Time after a start for which weak hosts leave the lease to stronger ones.
+const WEAK_WAIT: Duration = Duration::from_millis(1_200);
 /// For which the upstreams must be unchanged before keys are first dealt out.
 const SETTLE: Duration = Duration::from_millis(800);
-/// After which hosts are told of changed entries once more.
-const SPREAD_AGAIN: Duration = Duration::from_millis(200);
 /// Pause after a failed write.
 const WRITE_PAUSE: Duration = Duration::from_millis(120);
 /// For which the store must have failed the leader before it leaves the lease to a
@@ -115,7 +116,7 @@
     addresses_version: u64,
     events: Receiver<LedgerEvent>,
     sender: Sender<LedgerEvent>,
-    polls: u32,
+    started_at: Moment,
     failed_polls: u32,
     renew_at: Moment,
     step_at: Moment,
@@ -128,8 +129,8 @@
     yielded_term: Option<u64>,
     /// Since when the store has failed this leader.
     failing_since: Option<Moment>,
-    /// Version of the entries that all hosts were told of, and when to tell again.
-    spread: (u64, Option<Moment>),
+    /// Version of the entries that all hosts were told of.
+    spread_version: u64,
 }
 
 impl LeaderLoop {
@@ -150,7 +151,7 @@
             addresses_version: 0,
             events,
             sender,
-            polls: 0,
+            started_at: parts.clock.now(),
             failed_polls: 0,
             renew_at: Moment::ZERO,
             step_at: Moment::ZERO,
@@ -160,7 +161,7 @@
             terms_ended: Arc::default(),
             yielded_term: None,
             failing_since: None,
-            spread: (0, None),
+            spread_version: 0,
             parts,
         }
     }
@@ -243,11 +244,12 @@
     }
 
     fn poll_pause(&self) -> Duration {
+        let doubled = 1 << self.failed_polls.min(MOST_DOUBLINGS);
         let Some(row) = &self.row else {
-            return STANDBY_POLL;
+            return FIRST_POLL.mul_f64(0.5 + self.parts.draw.fraction()) * doubled;
         };
-        if self.parts.book.is_helper() || self.polls < FIRST_POLLS {
-            return STANDBY_POLL * (1 << self.failed_polls.min(MOST_DOUBLINGS));
+        if self.parts.book.is_helper() {
+            return STANDBY_POLL * doubled;
         }
         let crowding = f64::from(row.hosts.max(POLL_HOSTS)) / f64::from(POLL_HOSTS);
         OTHER_POLL.mul_f64(crowding * (0.8 + 0.4 * self.parts.draw.fraction()))
@@ -255,7 +257,6 @@
 
     /// Reads the lease, and takes it when nobody holds it.
     async fn poll(&mut self) {
-        self.polls = self.polls.saturating_add(1);
         if !self.read_row().await {
             self.failed_polls = self.failed_polls.saturating_add(1);
             return;
@@ -275,8 +276,8 @@
             has_ended || row.may_be_taken(&claimant, store_now)
         });
         // At a start all hosts look at once; a strong one is to lead.
-        let is_weak = self.parts.settings.millicores < STRONG_MILLICORES;
-        let is_early = is_weak && self.polls < FIRST_POLLS;
+        let is_weak = self.parts.settings.strength() < LEADING_STRENGTH;
+        let is_early = is_weak && self.now() - self.started_at < WEAK_WAIT;
         if is_own || (may_take && !is_early && self.parts.keeper.is_complete()) {
             self.take_lease(is_own).await;
         }
@@ -480,11 +481,7 @@
         // A standby in another failure domain outlives the loss of this one.
         others.sort_by_key(|host| {
             let is_near = host.domain == settings.domain;
-            (
-                is_near,
-                std::cmp::Reverse(host.millicores),
-                host.name.clone(),
-            )
+            (is_near, std::cmp::Reverse(host.strength), host.name.clone())
         });
         let standbys = others.into_iter().take(STANDBYS).map(|host| host.name);
         LeadRow {
@@ -533,23 +530,13 @@
         }
     }
 
-    /// Tells all hosts of changed entries, twice in case a datagram is lost.
-    async fn spread_entries(&mut self, now: Moment) {
-        let version = self.parts.keeper.entries_version();
-        let (known, again_at) = self.spread;
-        let is_due = again_at.is_some_and(|at| at <= now);
-        if version == known && !is_due {
+    /// Tells all hosts of changed entries; one that misses them reports so.
+    async fn spread_entries(&mut self) {
+        let version = self.parts.keeper.last_entry_version();
+        if version <= self.spread_version {
             return;
         }
-        if version == known {
-            self.spread.1 = None;
-        } else {
-            let has_news = !self.parts.keeper.newer_entries(known, 1).is_empty();
-            self.spread = (version, has_news.then_some(now + SPREAD_AGAIN));
-            if !has_news {
-                return;
-            }
-        }
+        self.spread_version = version;
         let term = self.row.as_ref().map_or(0, |row| row.term);
         self.parts.link.announce(term).await;
     }
@@ -558,7 +545,7 @@
     async fn lead(&mut self, now: Moment) {
         let term = self.row.as_ref().map_or(0, |row| row.term);
         self.spread_liveness(term).await;
-        self.spread_entries(now).await;
+        self.spread_entries().await;
         if self.yield_lease(now).await {
             return;
         }
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -18,7 +18,7 @@
 pub(crate) const DATAGRAM_BYTES: usize = 60 << 10;
 /// First byte of every message; another one is another format, of a version of the
 /// program that is being replaced.
-const FORMAT: u8 = 4;
+const FORMAT: u8 = 5;
 
 /// A datagram that holds no message.
 #[derive(Debug)]
@@ -84,7 +84,8 @@
 pub(crate) struct HostReport {
     pub host: String,
     pub domain: DomainName,
-    pub millicores: u32,
+    /// How well the host can lead; see [`crate::FrontSettings::strength`].
+    pub strength: u32,
     /// Requests by service and key.
     pub loads: Vec<(ServiceName, Vec<(u16, f32)>)>,
     pub suspects: Vec<Suspect>,
@@ -199,6 +200,8 @@
     pub suspects: Vec<Suspect>,
     /// Owners that the host did not know.
     pub owners: Vec<OwnerNews>,
+    /// Version up to which the host must know the entries to take these in.
+    pub entries_base: u64,
     /// Entries that the host did not know, in order of their versions.
     pub entries: Vec<WireEntry>,
     /// What all hosts have seen of the upstreams.
@@ -208,6 +211,14 @@
     pub peers: Vec<SocketAddr>,
 }
 
+impl LeaderReply {
+    /// Returns the version up to which a host knows the entries after this message.
+    pub(crate) fn entries_end(&self) -> u64 {
+        let last = self.entries.last();
+        last.map_or(self.entries_base, |WireEntry(_, version, _)| *version)
+    }
+}
+
 /// A request that upstreams ended with.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Suspect {
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -2,6 +2,8 @@
 
 use crate::draw::DrawSource;
 use crate::message::{HostReport, KnownState, LeaderReply, WireLoad};
+use async_channel::{Receiver, Sender, bounded};
+use async_std::future::timeout;
 use grant::{KeyLoads, LastTerm};
 use indexmap::IndexMap;
 use kernel::{Clock, DomainName, Moment, ServiceName, UpstreamId};
@@ -34,7 +36,7 @@
 pub(crate) struct PeerHost {
     pub name: String,
     pub domain: DomainName,
-    pub millicores: u32,
+    pub strength: u32,
 }
 
 /// A host that reported.
@@ -42,7 +44,7 @@
 struct KnownHost {
     heard_at: Moment,
     domain: DomainName,
-    millicores: u32,
+    strength: u32,
     address: SocketAddr,
     sees_store: bool,
     known: KnownState,
@@ -53,6 +55,9 @@
 pub(crate) struct PeerBook {
     clock: Arc<dyn Clock>,
     draw: Arc<DrawSource>,
+    /// Wakes the sender of reports.
+    wake: Sender<()>,
+    woken: Receiver<()>,
     state: Mutex<PeerState>,
 }
 
@@ -92,9 +97,12 @@
 impl PeerBook {
     pub(crate) fn new(clock: Arc<dyn Clock>, draw: Arc<DrawSource>) -> Self {
         let faded_at = clock.now();
+        let (wake, woken) = bounded(1);
         Self {
             clock,
             draw,
+            wake,
+            woken,
             state: Mutex::new(PeerState {
                 leader: None,
                 term: 0,
@@ -122,7 +130,18 @@
 
     /// Notes where the leader takes reports.
     pub(crate) fn set_leader(&self, leader: Option<SocketAddr>) {
-        self.state.lock().leader = leader;
+        let mut state = self.state.lock();
+        if leader.is_some() && state.leader != leader {
+            // One wake-up is enough for several changes.
+            let _is_waking = self.wake.try_send(());
+        }
+        state.leader = leader;
+    }
+
+    /// Waits until a report is due: for `period`, or until the leader is another.
+    pub(crate) async fn wait_for_report(&self, period: Duration) {
+        // Either way it is time to report.
+        let _elapsed = timeout(period, self.woken.recv()).await;
     }
 
     /// Returns whether this host leads, or has heard the leader within `span`.
@@ -228,7 +247,7 @@
         let hosts = hosts.map(|(name, host)| PeerHost {
             name: name.clone(),
             domain: host.domain.clone(),
-            millicores: host.millicores,
+            strength: host.strength,
         });
         hosts.collect()
     }
@@ -314,9 +333,9 @@
         let mut state = self.state.lock();
         for host in state.hosts.values_mut() {
             targets.push((host.address, host.known.clone()));
-            // Owners are not told again until the host reports that it lacks them;
-            // entries are, as a leaving upstream must be heard of soon.
+            // Neither is told again until the host reports that it lacks it.
             host.known.owners.clone_from(&told.owners);
+            host.known.entries = host.known.entries.max(told.entries);
         }
         for peer in std::mem::take(&mut state.peers) {
             if targets.iter().any(|(address, _)| *address == peer) {
@@ -363,7 +382,7 @@
         let host = KnownHost {
             heard_at: now,
             domain: report.domain.clone(),
-            millicores: report.millicores,
+            strength: report.strength,
             address,
             sees_store: report.sees_store,
             known: report.known.clone(),
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -28,11 +28,14 @@
 const END_COPIES: u32 = 2;
 /// Pause after a failed receipt.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(70);
-/// Most entries in one reply; the next one has the rest.
+/// Most entries in one message; the next one has the rest.
 const MOST_ENTRIES: usize = 120;
 /// Most keys in a report, those with most requests first.
 const MOST_KEYS: usize = 200;
 
+/// What a leader that gives up leaves behind, and who is to take over.
+type TermEnd<'a> = (LastTerm, Option<&'a str>);
+
 /// Sends this host's reports and takes in those of others.
 #[derive(Clone, Debug)]
 pub(crate) struct ReportLink {
@@ -41,7 +44,7 @@
     pub keeper: Arc<ViewKeeper>,
     pub dispatcher: Dispatcher,
     pub host: String,
-    pub millicores: u32,
+    pub strength: u32,
 }
 
 impl ReportLink {
@@ -53,7 +56,7 @@
             } else {
                 REPORT_PERIOD
             };
-            async_std::task::sleep(period).await;
+            self.book.wait_for_report(period).await;
             let report = self.report();
             let Some(leader) = self.book.leader() else {
                 continue;
@@ -63,7 +66,9 @@
                 self.learn(&self.book.next_norms());
                 continue;
             }
-            self.send(&PeerMessage::Report(report), leader).await;
+            if let Some(bytes) = encode(&PeerMessage::Report(report)) {
+                self.send(&bytes, leader).await;
+            }
         }
     }
 
@@ -81,29 +86,39 @@
         }
     }
 
-    async fn tell_all(&self, term: u64, ended: Option<(LastTerm, Option<&str>)>) {
+    async fn tell_all(&self, term: u64, ended: Option<TermEnd<'_>>) {
         let told = KnownState {
             owners: self.keeper.owner_versions(),
-            entries: self.keeper.entries_version(),
+            entries: self.keeper.last_entry_version(),
         };
         let mut targets = self.book.take_targets(&told);
         let own = self.socket.local_addr().ok();
         targets.retain(|(address, _)| Some(*address) != own);
+        // Most hosts know the same, and are told the same.
+        let mut last: Option<(KnownState, Vec<Vec<u8>>)> = None;
         for (address, known) in targets {
-            let reply = self.reply(term, ended, &known, false, Vec::new());
-            self.send(&PeerMessage::Reply(reply), address).await;
+            let datagrams = match last.take() {
+                Some((same, datagrams)) if same == known => datagrams,
+                _ => encode_all(self.replies(term, ended, &known, false, Vec::new())),
+            };
+            for bytes in &datagrams {
+                self.send(bytes, address).await;
+            }
+            last = Some((known, datagrams));
         }
     }
 
-    fn reply(
+    /// Returns what a host is to be told that knows `known`; entries that don't fit one
+    /// message follow in further ones.
+    fn replies(
         &self,
         term: u64,
-        ended: Option<(LastTerm, Option<&str>)>,
+        ended: Option<TermEnd<'_>>,
         known: &KnownState,
         is_for_standby: bool,
         norms: Vec<WireLoad>,
-    ) -> LeaderReply {
-        LeaderReply {
+    ) -> Vec<LeaderReply> {
+        let first = LeaderReply {
             term,
             ended: ended.map(|(last, _)| WireLast::from(last)),
             successor: ended.and_then(|(_, successor)| successor.map(str::to_owned)),
@@ -111,12 +126,8 @@
             hosts: self.book.hosts().len() as u32,
             suspects: self.suspects(),
             owners: self.keeper.newer_owners(&known.owners),
-            entries: self
-                .keeper
-                .newer_entries(known.entries, MOST_ENTRIES)
-                .into_iter()
-                .map(WireEntry::from)
-                .collect(),
+            entries_base: known.entries,
+            entries: Vec::new(),
             norms,
             standbys: self.book.standbys(),
             peers: if is_for_standby {
@@ -124,7 +135,31 @@
             } else {
                 Vec::new()
             },
+        };
+        let rows = self.keeper.newer_entries(known.entries);
+        let mut replies = vec![first];
+        for chunk in rows.chunks(MOST_ENTRIES) {
+            let entries = chunk.iter().cloned().map(WireEntry::from).collect();
+            let entries_base = replies
+                .last()
+                .map_or(known.entries, LeaderReply::entries_end);
+            let is_alone = replies.len() == 1 && replies[0].owners.is_empty();
+            if is_alone && replies[0].entries.is_empty() {
+                replies[0].entries = entries;
+                continue;
+            }
+            let further = LeaderReply {
+                suspects: Vec::new(),
+                owners: Vec::new(),
+                norms: Vec::new(),
+                peers: Vec::new(),
+                entries_base,
+                entries,
+                ..replies[0].clone()
+            };
+            replies.push(further);
         }
+        replies
     }
 
     fn learn(&self, norms: &[WireLoad]) {
@@ -149,7 +184,7 @@
         HostReport {
             host: self.host.clone(),
             domain: parts.domain.clone(),
-            millicores: self.millicores,
+            strength: self.strength,
             loads,
             suspects: self.suspects(),
             seen: parts
@@ -189,15 +224,8 @@
         }
     }
 
-    async fn send(&self, message: &PeerMessage, peer: SocketAddr) {
-        let bytes = match message.encode() {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                warn!(target: "peers", "peer={peer} message not sent: {error}");
-                return;
-            }
-        };
-        if let Err(error) = self.socket.send_to(&bytes, peer).await {
+    async fn send(&self, bytes: &[u8], peer: SocketAddr) {
+        if let Err(error) = self.socket.send_to(bytes, peer).await {
             debug!(target: "peers", "peer={peer} message not sent: {error}");
         }
     }
@@ -223,8 +251,11 @@
                     if let Some(term) = self.book.leading() {
                         let is_for_standby = self.book.standbys().contains(&report.host);
                         let norms = self.book.next_norms();
-                        let reply = self.reply(term, None, &report.known, is_for_standby, norms);
-                        self.send(&PeerMessage::Reply(reply), peer).await;
+                        let replies =
+                            self.replies(term, None, &report.known, is_for_standby, norms);
+                        for bytes in encode_all(replies) {
+                            self.send(&bytes, peer).await;
+                        }
                     }
                 }
                 Ok(PeerMessage::Reply(reply)) => {
@@ -236,7 +267,7 @@
                     self.learn(&reply.norms);
                     let rows: Vec<TableRow> =
                         reply.entries.into_iter().map(TableRow::from).collect();
-                    self.keeper.take_entries(&rows);
+                    self.keeper.take_entries(reply.entries_base, &rows);
                     for news in reply.owners {
                         self.keeper.take_news(news);
                     }
@@ -246,3 +277,18 @@
         }
     }
 }
+
+fn encode(message: &PeerMessage) -> Option<Vec<u8>> {
+    match message.encode() {
+        Ok(bytes) => Some(bytes),
+        Err(error) => {
+            warn!(target: "peers", "message not sent: {error}");
+            None
+        }
+    }
+}
+
+fn encode_all(replies: Vec<LeaderReply>) -> Vec<Vec<u8>> {
+    let messages = replies.into_iter().map(PeerMessage::Reply);
+    messages.filter_map(|message| encode(&message)).collect()
+}
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -293,7 +293,7 @@
             keeper: Arc::clone(&keeper),
             dispatcher: dispatcher.clone(),
             host: parts.settings.name.clone(),
-            millicores: parts.settings.millicores,
+            strength: parts.settings.strength(),
         };
         scope.spawn(link.clone().send_reports());
         scope.spawn(link.clone().receive());
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -22,12 +22,12 @@
 const FEED_WAIT: Duration = Duration::from_secs(25);
 /// Shortest pause after a failed call; doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
-/// Longest pause after failed calls, so that a store that is back is noticed well
-/// within the time in which a sheet has to be in force.
-const LONGEST_PAUSE: Duration = Duration::from_millis(1_200);
-/// For which changes are gathered before the next call of a busy feed; far below
-/// the time in which a sheet or a leaving upstream has to be heard of.
-const GATHER: Duration = Duration::from_millis(300);
+/// Longest pause after failed calls; a store counts as steady 3 s after its return, and
+/// is to have been noticed by then.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// For which changes are gathered before the next call of a busy feed; a third of the
+/// time in which a sheet or a leaving upstream has to be heard of.
+const GATHER: Duration = Duration::from_millis(700);
 /// The same for the leader, which tells all others.
 const LEADER_GATHER: Duration = Duration::from_millis(80);
 /// Silence of the leader after which a host follows the entries itself, so that it
@@ -37,8 +37,9 @@
 const SILENT_WAIT: Duration = Duration::from_secs(2);
 /// Earlier owners that are kept; hosts that lag further behind get all ranges.
 const MOST_EARLIER: usize = 12;
-/// Between two looks at the owners while no leader is heard.
-const OWNER_POLL: Duration = Duration::from_millis(1_500);
+/// Between two looks at the owners while no leader is heard; a new leader tells most
+/// hosts itself.
+const OWNER_POLL: Duration = Duration::from_millis(2_500);
 
 /// A table that is watched.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -158,17 +159,19 @@
         self.state.lock().entries_version
     }
 
-    /// Returns the first `most` rows of entries that are newer than `version`.
-    pub(crate) fn newer_entries(&self, version: u64, most: usize) -> Vec<TableRow> {
+    /// Returns the version of the newest entry.
+    pub(crate) fn last_entry_version(&self) -> u64 {
+        let state = self.state.lock();
+        state.entry_rows.last().map_or(0, |row| row.version)
+    }
+
+    /// Returns the rows of entries that are newer than `version`.
+    pub(crate) fn newer_entries(&self, version: u64) -> Vec<TableRow> {
         let state = self.state.lock();
         let from = state
             .entry_rows
             .partition_point(|row| row.version <= version);
-        state.entry_rows[from..]
-            .iter()
-            .take(most)
-            .cloned()
-            .collect()
+        state.entry_rows[from..].to_vec()
     }
 
     /// Takes in rows of a table that changed.
@@ -176,7 +179,7 @@
         match table {
             WatchedTable::Sheet => self.take_sheet(&page.rows),
             WatchedTable::Entries => {
-                self.take_entries(&page.rows);
+                self.take_entries(0, &page.rows);
                 let mut state = self.state.lock();
                 state.entries_version = state.entries_version.max(page.version);
             }
@@ -221,12 +224,14 @@
     }
 
     /// Takes in rows of entries, in order of their versions; those that are known
-    /// already are passed over.
-    pub(crate) fn take_entries(&self, rows: &[TableRow]) {
+    /// already are passed over. All rows are if those up to `base` are not known, as
+    /// some between would be missed.
+    pub(crate) fn take_entries(&self, base: u64, rows: &[TableRow]) {
         let now = self.clock.now();
         let mut state = self.state.lock();
         let known = state.entries_version;
-        if !state.has_entries || rows.iter().all(|row| row.version <= known) {
+        let has_news = rows.iter().any(|row| row.version > known);
+        if !state.has_entries || known < base || !has_news {
             return;
         }
         for row in rows {
--- a/crates/place/tests/choice.rs
+++ b/crates/place/tests/choice.rs
@@ -220,7 +220,7 @@
 #[test]
 fn take_probes_notices_the_end_of_a_partition_soon() {
     assert!(recover(true) <= Duration::from_millis(700));
-    assert!(recover(false) > Duration::from_millis(2_000));
+    assert!(recover(false) > Duration::from_secs(2));
 }
 
 #[test]
