--- a/crates/fake/src/relay.rs
+++ b/crates/fake/src/relay.rs
@@ -18,6 +18,12 @@
     Pass,
     /// Holds them back without closing anything.
     Hold,
+    /// Loses them; connections that lost any stay open and silent.
+    Lose,
+    /// Loses those of the answering side alone.
+    LoseAnswers,
+    /// Resets the connections that they come on.
+    Reset,
 }
 
 /// Relays one address to another.
@@ -84,11 +90,14 @@
 }
 
 impl RelayState {
+    fn is_mode(&self, mode: RelayMode) -> bool {
+        self.mode.load(Ordering::SeqCst) == mode as u8
+    }
+
     async fn wait_open(&self, number: u64) {
         loop {
             let is_silent = number < self.silent_below.load(Ordering::SeqCst);
-            let is_passing = self.mode.load(Ordering::SeqCst) == RelayMode::Pass as u8;
-            if is_passing && !is_silent {
+            if !self.is_mode(RelayMode::Hold) && !is_silent {
                 return;
             }
             async_std::task::sleep(POLL).await;
@@ -98,6 +107,10 @@
 
 async fn accept(state: Arc<RelayState>, listener: TcpListener) {
     while let Ok((near, _)) = listener.accept().await {
+        if state.is_mode(RelayMode::Reset) {
+            h1::reset(&near);
+            continue;
+        }
         let number = state.next_connection.fetch_add(1, Ordering::SeqCst);
         let state = Arc::clone(&state);
         async_std::task::spawn(async move {
@@ -109,17 +122,34 @@
             if options.is_err() {
                 return;
             }
-            let there = copy(&state, number, near.clone(), far.clone());
-            let back = copy(&state, number, far, near);
+            let there = copy(&state, number, near.clone(), far.clone(), false);
+            let back = copy(&state, number, far, near, true);
             futures::future::join(there, back).await;
         });
     }
 }
 
-async fn copy(state: &RelayState, number: u64, mut from: TcpStream, mut to: TcpStream) {
+async fn copy(
+    state: &RelayState,
+    number: u64,
+    mut from: TcpStream,
+    mut to: TcpStream,
+    is_answer: bool,
+) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let bytes = from.read(&mut buffer).await.unwrap_or(0);
+        if state.is_mode(RelayMode::Reset) {
+            h1::reset(&from);
+            h1::reset(&to);
+            break;
+        }
+        let loses_answers = is_answer && state.is_mode(RelayMode::LoseAnswers);
+        if bytes > 0 && (loses_answers || state.is_mode(RelayMode::Lose)) {
+            lose_rest(&mut from, &mut buffer).await;
+            // The other side is left without a word, too.
+            return;
+        }
         state.wait_open(number).await;
         let delay_ms = state.delay_ms.load(Ordering::SeqCst);
         if delay_ms > 0 {
@@ -133,3 +163,8 @@
     let _closed_already = from.shutdown(Shutdown::Read);
     let _closed_already = to.shutdown(Shutdown::Write);
 }
+
+/// Reads and drops bytes until the connection is closed.
+async fn lose_rest(from: &mut TcpStream, buffer: &mut [u8]) {
+    while from.read(buffer).await.is_ok_and(|bytes| bytes > 0) {}
+}
