--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -18,7 +18,7 @@
 pub(crate) const DATAGRAM_BYTES: usize = 60 << 10;
 /// First byte of every message; another one is another format, of a version of the
 /// program that is being replaced.
-const FORMAT: u8 = 5;
+const FORMAT: u8 = 6;
 
 /// A datagram that holds no message.
 #[derive(Debug)]
@@ -197,6 +197,8 @@
     /// Whether the sender hears of changed entries from the store.
     pub is_live: bool,
     pub hosts: u32,
+    /// Version of the leader's sheet; 0 while it has none.
+    pub sheet: u64,
     pub suspects: Vec<Suspect>,
     /// Owners that the host did not know.
     pub owners: Vec<OwnerNews>,
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -124,6 +124,7 @@
             successor: ended.and_then(|(_, successor)| successor.map(str::to_owned)),
             is_live: self.book.is_live(),
             hosts: self.book.hosts().len() as u32,
+            sheet: self.keeper.sheet_version(),
             suspects: self.suspects(),
             owners: self.keeper.newer_owners(&known.owners),
             entries_base: known.entries,
@@ -262,6 +263,7 @@
                     if !self.book.take_reply(&reply, peer, &self.host) {
                         continue;
                     }
+                    self.keeper.note_leader_sheet(reply.sheet);
                     self.take_suspects(&reply.suspects);
                     self.dispatcher.parts.budgets.set_hosts(reply.hosts);
                     self.learn(&reply.norms);
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -6,7 +6,9 @@
 use crate::metrics::FrontMetrics;
 use crate::peers::PeerBook;
 use crate::view::{FrontView, ViewCell};
+use async_channel::{Receiver, Sender, bounded};
 use fleet::{FleetTiming, FleetView, KnownUpstream};
+use futures::future::{Either, select};
 use grant::{OwnerMap, WireOwners};
 use indexmap::IndexMap;
 use kernel::{Clock, Moment, ServiceName, UpstreamId};
@@ -14,12 +16,16 @@
 use parking_lot::Mutex;
 use route::PrefixTable;
 use sheet::RouteSheet;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use store::{FeedReply, RowPage, RowStore, StoreError, TableRow};
 
 /// For which the store holds a feed open without changes; its longest is 30 s.
 const FEED_WAIT: Duration = Duration::from_secs(25);
+/// The same for the feed of entries at the leader and its standbys: a connection that
+/// has gone silent must not leave all hosts without news for long.
+const LEADER_WAIT: Duration = Duration::from_secs(2);
 /// Shortest pause after a failed call; doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls; a store counts as steady 3 s after its return, and
@@ -35,6 +41,9 @@
 const LEADER_SILENCE: Duration = Duration::from_millis(1_100);
 /// For which a feed is held open while the leader is not heard.
 const SILENT_WAIT: Duration = Duration::from_secs(2);
+/// For which the leader may have a newer sheet before this host's feed is given up; a
+/// feed that works brings it within the time for which changes are gathered.
+const BEHIND_LIMIT: Duration = Duration::from_secs(1);
 /// Earlier owners that are kept; hosts that lag further behind get all ranges.
 const MOST_EARLIER: usize = 12;
 /// Between two looks at the owners while no leader is heard; a new leader tells most
@@ -58,6 +67,9 @@
     draw: Arc<DrawSource>,
     cell: Arc<ViewCell>,
     metrics: FrontMetrics,
+    /// Tells the follower of the sheet that its feed has fallen silent.
+    nudge: Sender<()>,
+    nudged: Receiver<()>,
     state: Mutex<KeeperState>,
 }
 
@@ -72,6 +84,8 @@
     /// Version up to which the entries are known.
     entries_version: u64,
     has_entries: bool,
+    /// Since when the leader has a newer sheet than this host.
+    behind_since: Option<Moment>,
 }
 
 impl ViewKeeper {
@@ -83,7 +97,10 @@
         metrics: FrontMetrics,
         timing: FleetTiming,
     ) -> Self {
+        let (nudge, nudged) = bounded(1);
         Self {
+            nudge,
+            nudged,
             platform,
             clock,
             draw,
@@ -96,6 +113,7 @@
                 entry_rows: Vec::new(),
                 entries_version: 0,
                 has_entries: false,
+                behind_since: None,
             }),
         }
     }
@@ -154,6 +172,37 @@
         self.publish_fleet(&state);
     }
 
+    /// Returns the version of the sheet in force; 0 before the first.
+    pub(crate) fn sheet_version(&self) -> u64 {
+        let view = self.cell.load();
+        view.sheet.as_ref().map_or(0, |sheet| sheet.version)
+    }
+
+    /// Takes in the version of the sheet that the leader has; one that this host
+    /// lacks for long shows that its own feed has fallen silent.
+    pub(crate) fn note_leader_sheet(&self, version: u64) {
+        let now = self.clock.now();
+        let known = self.sheet_version();
+        let mut state = self.state.lock();
+        if known == 0 || version <= known {
+            state.behind_since = None;
+            return;
+        }
+        let since = *state.behind_since.get_or_insert(now);
+        if now - since >= BEHIND_LIMIT {
+            state.behind_since = Some(now);
+            // One nudge is enough for several.
+            let _is_nudged = self.nudge.try_send(());
+        }
+    }
+
+    /// Waits until the feed of a table is known to have fallen silent.
+    async fn wait_for_nudge(&self, table: WatchedTable) {
+        if table != WatchedTable::Sheet || self.nudged.recv().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Returns the version up to which the entries are known.
     pub(crate) fn entries_version(&self) -> u64 {
         self.state.lock().entries_version
@@ -450,7 +499,7 @@
         if table == WatchedTable::Entries && after.is_some() {
             after = Some(keeper.entries_version());
             if book.is_leading() || book.is_standby() {
-                wait = FEED_WAIT;
+                wait = LEADER_WAIT;
             } else if book.is_told_entries(LEADER_SILENCE) {
                 async_std::task::sleep(LEADER_GATHER).await;
                 continue;
@@ -468,14 +517,25 @@
                 keeper.take_all(table, &page);
                 Some(page.version)
             }),
-            Some(version) => store.feed(&name, version, wait).await.map(|reply| {
-                let FeedReply::Changes(page) = reply else {
-                    warn!(target: "store", "table={name} state=history_gone after={version}");
-                    return None;
-                };
-                keeper.take_changes(table, &page);
-                Some(page.version.max(version))
-            }),
+            Some(version) => {
+                let feed = store.feed(&name, version, wait);
+                let nudge = pin!(keeper.wait_for_nudge(table));
+                match select(feed, nudge).await {
+                    Either::Left((Ok(FeedReply::Changes(page)), _)) => {
+                        keeper.take_changes(table, &page);
+                        Ok(Some(page.version.max(version)))
+                    }
+                    Either::Left((Ok(FeedReply::HistoryGone), _)) => {
+                        warn!(target: "store", "table={name} state=history_gone after={version}");
+                        Ok(None)
+                    }
+                    Either::Left((Err(error), _)) => Err(error),
+                    Either::Right(((), _)) => {
+                        warn!(target: "store", "table={name} state=behind after={version}");
+                        Ok(None)
+                    }
+                }
+            }
         };
         match outcome {
             Ok(next) => {
