Put changed settings in force on SIGHUP and when the file changes

Before, a change was reported and waited for the next start. Bounds are now read where they are used; what a running process can't change is named in the log. The file is looked at every 2 s. Test: reload_puts_changed_settings_in_force, with the real program.

--- a/crates/ebonytrestle/src/join.rs
+++ b/crates/ebonytrestle/src/join.rs
@@ -1,12 +1,17 @@
 //! A host on a platform that is reached through an adapter.
 
 use crate::signals::StopSignals;
+use async_std::future::timeout;
 use eyre::{Result, WrapErr, eyre};
 use front::{FrontHost, LineLog, LoadedPlatform, PlatformPlugin};
 use kernel::find_plugin;
 use log::{LevelFilter, info, warn};
 use simplelog::{ConfigBuilder, WriteLogger};
 use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// How often the settings file is looked at; it may change without a signal.
+const FILE_POLL: Duration = Duration::from_secs(2);
 
 /// Runs a host on the platform named `name` until it is told to stop.
 pub(crate) fn join(name: &str, settings: Option<PathBuf>, is_check: bool) -> Result<()> {
@@ -49,18 +54,33 @@
 
 async fn serve(plugin: &PlatformPlugin, path: &Path, loaded: LoadedPlatform) -> Result<()> {
     let signals = StopSignals::listen()?;
-    let settings = loaded.settings.clone();
+    let mut settings = loaded.settings.clone();
+    let mut known_text = std::fs::read_to_string(path).unwrap_or_default();
     let host = FrontHost::start(loaded).await?;
-    while signals.next().await.is_reload() {
+    loop {
+        let is_asked = match timeout(FILE_POLL, signals.next()).await {
+            Ok(signal) if signal.is_reload() => true,
+            Ok(_stop) => break,
+            Err(_elapsed) => false,
+        };
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        if text == known_text && !is_asked {
+            continue;
+        }
+        known_text = text;
         match load(plugin, path) {
-            Ok(fresh) if fresh.settings == settings => {
+            Ok(fresh) if fresh.settings != settings => {
+                settings = fresh.settings;
+                let at_next_start = host.reload(&settings);
+                info!(
+                    target: "host",
+                    "host={} state=reloaded changed=true bounds={:?} at_next_start={at_next_start:?}",
+                    settings.name, settings.bounds,
+                );
+            }
+            Ok(_same) => {
                 info!(target: "host", "host={} state=reloaded changed=false", settings.name);
             }
-            Ok(fresh) => info!(
-                target: "host",
-                "host={} state=reloaded changed=true bounds={:?} in_force=at_next_start",
-                settings.name, fresh.settings.bounds,
-            ),
             Err(error) => warn!(target: "host", "reload refused: {error:#}"),
         }
     }
--- a/crates/ebonytrestle/tests/soak/fleet.rs
+++ b/crates/ebonytrestle/tests/soak/fleet.rs
@@ -104,6 +104,32 @@
         let _ended = kill_process(pid.expect("a process has an id"), signal);
     }
 
+    /// Changes the settings file.
+    pub fn change_settings(&self, change: impl FnOnce(&mut serde_json::Value)) {
+        let text = std::fs::read_to_string(&self.settings).expect("there are settings");
+        let mut settings = serde_json::from_str(&text).expect("settings are JSON");
+        change(&mut settings);
+        std::fs::write(&self.settings, settings.to_string()).expect("settings are written");
+    }
+
+    /// Cuts the settings file short.
+    pub fn break_settings(&self) {
+        std::fs::write(&self.settings, "{\"self\": ").expect("settings are written");
+    }
+
+    /// Waits until the process has logged a line with a text.
+    pub async fn wait_for_line(&self, text: &str, limit: Duration) {
+        let until = Instant::now() + limit;
+        while Instant::now() < until {
+            let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+            if log.contains(text) {
+                return;
+            }
+            async_std::task::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("no line with {text:?} in {}", self.log.display());
+    }
+
     /// Kills the process and starts another after a pause.
     pub async fn kill_and_restart(&self, pause: Duration) {
         self.is_disturbed.store(true, Ordering::SeqCst);
--- a/crates/ebonytrestle/tests/soak/main.rs
+++ b/crates/ebonytrestle/tests/soak/main.rs
@@ -51,6 +51,34 @@
     assert!(findings.is_clean(), "{findings}");
 }
 
+#[rstest]
+#[case::with_a_signal(true)]
+#[case::without_a_signal(false)]
+fn reload_puts_changed_settings_in_force(#[case] is_signalled: bool) {
+    block_on(async {
+        let size = FleetSize {
+            hosts: 1,
+            keyed: 1,
+            plain: 1,
+        };
+        let fleet = SoakFleet::start(1_000 + u64::from(is_signalled), size).await;
+        fleet.wait_until_serving().await;
+        let host = &fleet.hosts[0];
+        host.change_settings(|settings| settings["terms"]["bounds"]["drain_ms"] = 900.into());
+        if is_signalled {
+            host.signal(rustix::process::Signal::HUP);
+        }
+        let changed = "state=reloaded changed=true bounds=FrontBounds { drain: 900ms";
+        host.wait_for_line(changed, Duration::from_secs(5)).await;
+        // A file that can't be read changes nothing and is told of.
+        host.break_settings();
+        host.wait_for_line("reload refused", Duration::from_secs(5))
+            .await;
+        assert!(host.is_ready().await);
+        fleet.stop(true);
+    });
+}
+
 #[test]
 #[ignore = "takes minutes; run by hand with SOAK_SEEDS and SOAK_SECONDS"]
 fn soak_many_seeds_keep_every_promise() {
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Changes the waits; those that run already keep theirs.
+    pub fn set_timing(&mut self, timing: FleetTiming) {
+        self.timing = timing;
+    }
+
     /// Returns an upstream.
     pub fn get(&self, id: &str) -> Option<&KnownUpstream> {
         self.upstreams.get(id)
--- a/crates/front/src/adapter.rs
+++ b/crates/front/src/adapter.rs
@@ -1,5 +1,6 @@
 //! What a platform's adapter has to give.
 
+use arc_swap::ArcSwap;
 use fleet::UpstreamEntry;
 use grant::GrantCall;
 use kernel::{DomainName, Named, UpstreamId, inventory};
@@ -59,6 +60,9 @@
     pub retry_extra: f64,
 }
 
+/// The bounds in force, which a reload changes.
+pub(crate) type BoundsCell = Arc<ArcSwap<FrontBounds>>;
+
 impl Default for FrontBounds {
     fn default() -> Self {
         Self {
--- a/crates/front/src/budgets.rs
+++ b/crates/front/src/budgets.rs
@@ -1,6 +1,6 @@
 //! This host's part of the retries that all hosts may send.
 
-use crate::adapter::FrontBounds;
+use crate::adapter::BoundsCell;
 use indexmap::IndexMap;
 use kernel::ServiceName;
 use parking_lot::Mutex;
@@ -16,13 +16,13 @@
 /// Retry budgets by service.
 #[derive(Debug)]
 pub(crate) struct RetryBudgets {
-    bounds: FrontBounds,
+    bounds: BoundsCell,
     hosts: AtomicU32,
     budgets: Mutex<IndexMap<ServiceName, RetryBudget>>,
 }
 
 impl RetryBudgets {
-    pub(crate) fn new(bounds: FrontBounds) -> Self {
+    pub(crate) fn new(bounds: BoundsCell) -> Self {
         Self {
             bounds,
             hosts: AtomicU32::new(ASSUMED_HOSTS),
@@ -39,6 +39,11 @@
         }
     }
 
+    /// Starts anew with the bounds that are in force now.
+    pub(crate) fn reset(&self) {
+        self.budgets.lock().clear();
+    }
+
     pub(crate) fn note_first_try(&self, service: &ServiceName) {
         self.with(service, RetryBudget::note_first_try);
     }
@@ -49,7 +54,7 @@
 
     fn most(&self) -> f64 {
         let hosts = f64::from(self.hosts.load(Ordering::Relaxed));
-        (self.bounds.retry_extra * USED_PART / hosts).max(1.0)
+        (self.bounds.load().retry_extra * USED_PART / hosts).max(1.0)
     }
 
     fn with<T>(&self, service: &ServiceName, change: impl FnOnce(&mut RetryBudget) -> T) -> T {
@@ -57,7 +62,7 @@
         if let Some(budget) = budgets.get_mut(service) {
             return change(budget);
         }
-        let budget = RetryBudget::new(self.bounds.retry_ratio * USED_PART, self.most());
+        let budget = RetryBudget::new(self.bounds.load().retry_ratio * USED_PART, self.most());
         change(budgets.entry(service.clone()).or_insert(budget))
     }
 }
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -1,6 +1,6 @@
 //! From a client's request to its answer: route, choose, send, try again.
 
-use crate::adapter::FrontBounds;
+use crate::adapter::BoundsCell;
 use crate::answer::UpstreamAnswer;
 use crate::budgets::RetryBudgets;
 use crate::exchange::Exchanger;
@@ -50,7 +50,7 @@
     pub key_loads: Mutex<IndexMap<ServiceName, KeyLoads>>,
     pub clock: Arc<dyn Clock>,
     pub domain: DomainName,
-    pub bounds: FrontBounds,
+    pub bounds: BoundsCell,
     pub metrics: FrontMetrics,
 }
 
@@ -360,7 +360,10 @@
     /// Returns whether the holder of keys may still be sent work.
     fn is_owner_usable(&self, now: Moment, known: &KnownUpstream) -> bool {
         match known.presence {
-            Presence::Leaving(since) => now < since + self.parts.bounds.drain.mul_f64(DRAIN_PART),
+            Presence::Leaving(since) => {
+                let drain = self.parts.bounds.load().drain;
+                now < since + drain.mul_f64(DRAIN_PART)
+            }
             Presence::Listed | Presence::Missing(_) => known.takes_new_work(now),
         }
     }
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -1,6 +1,6 @@
 //! The leader: holds the lease in the store and grants keys to upstreams.
 
-use crate::adapter::{FrontSettings, UserPlatform};
+use crate::adapter::{BoundsCell, FrontSettings, UserPlatform};
 use crate::control::GrantCaller;
 use crate::dispatch::Dispatcher;
 use crate::draw::DrawSource;
@@ -96,6 +96,7 @@
     pub scope: TaskScope,
     pub is_stopping: Arc<AtomicBool>,
     pub draw: Arc<DrawSource>,
+    pub bounds: BoundsCell,
 }
 
 /// Looks after the lease, and leads while it holds it.
@@ -355,6 +356,7 @@
             return;
         }
         self.ledgers.clear();
+        self.timing = GrantTiming::with_longest_hold(self.parts.bounds.load().longest_hold);
         let table = self.parts.platform.tables().owners.clone();
         let listed = timeout(STORE_LIMIT, self.parts.store.list(&table)).await;
         let Ok(Ok(page)) = listed else {
--- a/crates/front/src/run.rs
+++ b/crates/front/src/run.rs
@@ -1,6 +1,6 @@
 //! Start and stop of an entry host.
 
-use crate::adapter::{FrontSettings, LoadedPlatform, UserPlatform};
+use crate::adapter::{BoundsCell, FrontBounds, FrontSettings, LoadedPlatform, UserPlatform};
 use crate::budgets::RetryBudgets;
 use crate::clients::ClientServer;
 use crate::control::GrantCaller;
@@ -16,6 +16,7 @@
 use crate::reports::ReportLink;
 use crate::view::ViewCell;
 use crate::watch::{ViewKeeper, WatchedTable, follow, follow_owners};
+use arc_swap::ArcSwap;
 use async_std::net::{TcpListener, UdpSocket};
 use fleet::FleetTiming;
 use grant::GrantTiming;
@@ -81,6 +82,9 @@
 pub struct FrontHost {
     clients: ClientServer,
     settings: FrontSettings,
+    bounds: BoundsCell,
+    keeper: Arc<ViewKeeper>,
+    dispatcher: Dispatcher,
     is_stopping: Arc<AtomicBool>,
     scope: TaskScope,
 }
@@ -146,6 +150,7 @@
     is_stopping: Arc<AtomicBool>,
     view: Arc<ViewCell>,
     book: Arc<PeerBook>,
+    bounds: BoundsCell,
     draw: Arc<DrawSource>,
 }
 
@@ -154,6 +159,7 @@
         let clock: Arc<dyn Clock> = Arc::new(BootClock);
         let metrics = FrontMetrics::register().map_err(StartFailure::Metrics)?;
         let draw = Arc::new(DrawSource::new(&loaded.settings, kernel::wall_clock_ms()));
+        let bounds = ArcSwap::from_pointee(loaded.settings.bounds);
         let calls = metrics.store_calls.clone();
         Ok(Self {
             settings: loaded.settings,
@@ -164,18 +170,14 @@
             is_stopping: Arc::new(AtomicBool::new(false)),
             view: Arc::new(ViewCell::default()),
             book: Arc::new(PeerBook::new(Arc::clone(&clock), Arc::clone(&draw))),
+            bounds: Arc::new(bounds),
             draw,
             clock,
         })
     }
 
     fn keeper(&self) -> Arc<ViewKeeper> {
-        let preset = FleetTiming::default();
-        let drain = self.settings.bounds.drain;
-        let timing = FleetTiming {
-            missing: preset.missing.min(drain.mul_f64(MISSING_PART)),
-            ..preset
-        };
+        let timing = fleet_timing(&self.settings.bounds);
         Arc::new(ViewKeeper::new(
             Arc::clone(&self.platform),
             Arc::clone(&self.clock),
@@ -197,12 +199,12 @@
                     clock: Arc::clone(&self.clock),
                     names: *self.platform.headers(),
                 },
-                budgets: RetryBudgets::new(self.settings.bounds),
+                budgets: RetryBudgets::new(Arc::clone(&self.bounds)),
                 quarantine: Mutex::new(QuarantineBook::new(SUSPECT_HOLD)),
                 key_loads: Mutex::new(IndexMap::new()),
                 clock: Arc::clone(&self.clock),
                 domain: self.settings.domain.clone(),
-                bounds: self.settings.bounds,
+                bounds: Arc::clone(&self.bounds),
                 metrics: self.metrics.clone(),
             }),
         }
@@ -266,6 +268,7 @@
             scope: self.scope.clone(),
             is_stopping: Arc::clone(&self.is_stopping),
             draw: Arc::clone(&self.draw),
+            bounds: Arc::clone(&self.bounds),
         });
         self.scope.spawn(leader.run());
     }
@@ -297,6 +300,7 @@
         };
         scope.spawn(link.clone().send_reports());
         scope.spawn(link.clone().receive());
+        let (kept_keeper, kept_dispatcher) = (Arc::clone(&keeper), dispatcher.clone());
         scope.spawn(sweep(
             Arc::clone(&keeper),
             dispatcher.clone(),
@@ -312,11 +316,37 @@
         Ok(Self {
             clients,
             settings,
+            bounds: parts.bounds,
+            keeper: kept_keeper,
+            dispatcher: kept_dispatcher,
             is_stopping: parts.is_stopping,
             scope: parts.scope,
         })
     }
 
+    /// Puts changed settings in force and returns the names of those that are in force
+    /// only after a restart.
+    ///
+    /// The longest hold of a grant counts from the next time that the host takes the
+    /// lease.
+    pub fn reload(&self, fresh: &FrontSettings) -> Vec<&'static str> {
+        self.bounds.store(Arc::new(fresh.bounds));
+        self.dispatcher.parts.budgets.reset();
+        self.keeper.set_timing(fleet_timing(&fresh.bounds));
+        let present = &self.settings;
+        let changes = [
+            ("name", fresh.name != present.name),
+            ("domain", fresh.domain != present.domain),
+            ("clients", fresh.clients != present.clients),
+            ("ready", fresh.ready != present.ready),
+            ("internal", fresh.internal != present.internal),
+            ("processor", fresh.millicores != present.millicores),
+            ("link", fresh.link_mbps != present.link_mbps),
+        ];
+        let later = changes.into_iter().filter(|(_, is_other)| *is_other);
+        later.map(|(name, _)| name).collect()
+    }
+
     /// Stops the host without cutting a request.
     ///
     /// It says at once that it is not ready, goes on serving until the balancer has
@@ -325,7 +355,7 @@
         info!(target: "host", "host={} state=stopping", self.settings.name);
         self.is_stopping.store(true, Ordering::SeqCst);
         self.clients.stop();
-        let limit = self.settings.bounds.stop.mul_f64(STOP_PART);
+        let limit = self.bounds.load().stop.mul_f64(STOP_PART);
         let turn_away = TURN_AWAY.min(limit / 2);
         async_std::task::sleep(turn_away).await;
         self.clients.close();
@@ -344,6 +374,15 @@
     }
 }
 
+/// Returns for how long upstreams without entries stay in use.
+fn fleet_timing(bounds: &FrontBounds) -> FleetTiming {
+    let preset = FleetTiming::default();
+    FleetTiming {
+        missing: preset.missing.min(bounds.drain.mul_f64(MISSING_PART)),
+        ..preset
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartFailure> {
     TcpListener::bind(address)
         .await
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -118,6 +118,11 @@
         }
     }
 
+    /// Changes for how long upstreams without entries stay in use.
+    pub(crate) fn set_timing(&self, timing: FleetTiming) {
+        self.state.lock().fleet.set_timing(timing);
+    }
+
     /// Returns whether a sheet and the upstreams are known.
     pub(crate) fn is_complete(&self) -> bool {
         self.cell.load().sheet.is_some() && self.state.lock().has_entries
