Tell hosts what entries say, not the store's rows; let strong hosts lead first

One with a narrow link told 140 hosts of 459 entries that had come back, 19 MB as the store's rows, could not reach the store in time meanwhile, and lost the lease 2 s later; the next ones fared alike. Change: a change of an entry is told as its decoded fields, about 60 bytes; a weak host takes a free lease only when it has been free for 1.2 s, unless it was named.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -50,3 +50,14 @@
         }
     }
 }
+
+/// An upstream's entry as it stands after a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryChange {
+    /// The upstream.
+    pub id: UpstreamId,
+    /// Version of the change.
+    pub version: u64,
+    /// The entry; absent when it was removed or can't be read.
+    pub entry: Option<UpstreamEntry>,
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,5 +18,5 @@
 mod entry;
 mod view;
 
-pub use entry::{ReportedState, UpstreamEntry};
+pub use entry::{EntryChange, ReportedState, UpstreamEntry};
 pub use view::{FleetTiming, FleetView, KnownUpstream, Presence};
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -52,7 +52,8 @@
 /// How often hosts look, on average, while there is no lease yet; at a start all of
 /// them look, and one of them soon finds that the sheet is there.
 const FIRST_POLL: Duration = Duration::from_millis(600);
-/// Time after a start for which weak hosts leave the lease to stronger ones.
+/// Time for which weak hosts leave a free lease to stronger ones: several of those
+/// look within it, in a large deployment too.
 const WEAK_WAIT: Duration = Duration::from_millis(1_200);
 /// For which the upstreams must be unchanged before keys are first dealt out.
 const SETTLE: Duration = Duration::from_millis(800);
@@ -288,13 +289,15 @@
         let row = self.row.as_ref();
         let is_own =
             row.is_some_and(|row| row.is_of(&claimant) && self.yielded_term != Some(row.term));
-        let may_take = row.is_none_or(|row| {
-            let has_ended = self.parts.book.ended(row.term).is_some();
-            has_ended || row.may_be_taken(&claimant, store_now)
-        });
-        // At a start all hosts look at once; a strong one is to lead.
+        let has_ended = row.is_some_and(|row| self.parts.book.ended(row.term).is_some());
+        let may_take = has_ended || row.is_none_or(|row| row.may_be_taken(&claimant, store_now));
+        // A strong host is to lead, if one looks in time.
         let is_weak = self.parts.settings.strength() < LEADING_STRENGTH;
-        let is_early = is_weak && self.now() - self.started_at < WEAK_WAIT;
+        let free_for = row.map_or_else(
+            || self.now() - self.started_at,
+            |row| Duration::from_millis(store_now.saturating_sub(row.expires_ms)),
+        );
+        let is_early = is_weak && !has_ended && free_for < WEAK_WAIT;
         if is_own || (may_take && !is_early && self.parts.keeper.is_complete()) {
             self.take_lease(is_own).await;
         }
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -4,6 +4,7 @@
 //! `postcard`'s encoding. Upstreams are named once in a message of owners, as names
 //! would be most of its bytes.
 
+use fleet::{EntryChange, ReportedState, UpstreamEntry};
 use grant::{LastTerm, WireOwners};
 use kernel::{DomainName, ServiceName, UpstreamId};
 use place::SeenLoad;
@@ -11,14 +12,13 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
-use store::TableRow;
 
 /// Largest datagram, in bytes; the protocol's limit is 64 KB. Owners that don't fit
 /// are read from the store.
 pub(crate) const DATAGRAM_BYTES: usize = 60 << 10;
 /// First byte of every message; another one is another format, of a version of the
 /// program that is being replaced.
-const FORMAT: u8 = 7;
+const FORMAT: u8 = 8;
 
 /// A datagram that holds no message.
 #[derive(Debug)]
@@ -161,27 +161,55 @@
     pub ranges: WireOwners,
 }
 
-/// A row of an upstream's entry, as the store has it.
+/// A change of an upstream's entry: its id, the version, and what the entry says.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct WireEntry(String, u64, Option<String>);
-
-impl From<TableRow> for WireEntry {
-    fn from(row: TableRow) -> Self {
-        // Entries are texts; one that isn't can't be decoded by anybody.
-        let value = row
-            .value
-            .map(|bytes| String::from_utf8_lossy(&bytes).into_owned());
-        Self(row.key, row.version, value)
+pub(crate) struct WireEntry(UpstreamId, u64, Option<WireDetail>);
+
+/// What an entry says; a few dozen bytes where the store's row has hundreds, as every
+/// host is told of every change.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct WireDetail {
+    service: ServiceName,
+    address: SocketAddr,
+    domain: DomainName,
+    slots: u32,
+    is_leaving: bool,
+    cold_ms: u32,
+    started_at_ms: u64,
+}
+
+impl From<EntryChange> for WireEntry {
+    fn from(change: EntryChange) -> Self {
+        let detail = change.entry.map(|entry| WireDetail {
+            service: entry.service,
+            address: entry.address,
+            domain: entry.domain,
+            slots: entry.slots,
+            is_leaving: entry.state == ReportedState::Leaving,
+            cold_ms: entry.cold.as_millis() as u32,
+            started_at_ms: entry.started_at_ms,
+        });
+        Self(change.id, change.version, detail)
     }
 }
 
-impl From<WireEntry> for TableRow {
-    fn from(WireEntry(key, version, value): WireEntry) -> Self {
-        Self {
-            key,
-            value: value.map(String::into_bytes),
-            version,
-        }
+impl From<WireEntry> for EntryChange {
+    fn from(WireEntry(id, version, detail): WireEntry) -> Self {
+        let entry = detail.map(|detail| UpstreamEntry {
+            id: id.clone(),
+            service: detail.service,
+            address: detail.address,
+            domain: detail.domain,
+            slots: detail.slots,
+            state: if detail.is_leaving {
+                ReportedState::Leaving
+            } else {
+                ReportedState::Ready
+            },
+            cold: Duration::from_millis(u64::from(detail.cold_ms)),
+            started_at_ms: detail.started_at_ms,
+        });
+        Self { id, version, entry }
     }
 }
 
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -187,23 +187,18 @@
         seen_at.is_some_and(|at| now - at < STORE_SEEN)
     }
 
-    /// Returns a host that has reported lately that it reaches the store, a standby if
-    /// one has.
+    /// Returns the strongest host that has reported lately that it reaches the store, a
+    /// standby if one has.
     pub(crate) fn successor(&self) -> Option<String> {
         let now = self.clock.now();
         let state = self.state.lock();
-        let can_lead = |host: &KnownHost| {
+        let able = state.hosts.iter().filter(|(_, host)| {
             host.sees_store
                 && now - host.heard_at < STORE_SEEN
                 && Some(host.address) != state.leader
-        };
-        let standbys = state
-            .standbys
-            .iter()
-            .filter_map(|name| state.hosts.get_key_value(name));
-        let mut candidates = standbys.chain(&state.hosts);
-        let found = candidates.find(|(_, host)| can_lead(host));
-        found.map(|(name, _)| name.clone())
+        });
+        let best = able.max_by_key(|(name, host)| (state.standbys.contains(name), host.strength));
+        best.map(|(name, _)| name.clone())
     }
 
     /// Returns whether this host looks at the store while the leader does not reach it.
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -13,13 +13,13 @@
 use crate::peers::PeerBook;
 use crate::watch::ViewKeeper;
 use async_std::net::UdpSocket;
+use fleet::EntryChange;
 use grant::LastTerm;
 use kernel::UpstreamId;
 use log::{debug, warn};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use store::TableRow;
 
 /// Between two reports of one host.
 const REPORT_PERIOD: Duration = Duration::from_millis(700);
@@ -30,7 +30,7 @@
 /// Pause after a failed receipt.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(70);
 /// Most entries in one message; the next one has the rest.
-const MOST_ENTRIES: usize = 120;
+const MOST_ENTRIES: usize = 400;
 /// Most keys in a report, those with most requests first.
 const MOST_KEYS: usize = 200;
 
@@ -281,9 +281,9 @@
                     self.dispatcher.parts.budgets.set_hosts(reply.hosts);
                     self.learn(&reply.norms);
                     self.learn_admitted(&reply.admitted);
-                    let rows: Vec<TableRow> =
-                        reply.entries.into_iter().map(TableRow::from).collect();
-                    self.keeper.take_entries(reply.entries_base, &rows);
+                    let changes = reply.entries.into_iter().map(EntryChange::from);
+                    let changes: Vec<EntryChange> = changes.collect();
+                    self.keeper.take_entries(reply.entries_base, &changes);
                     for news in reply.owners {
                         self.keeper.take_news(news);
                     }
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -7,7 +7,7 @@
 use crate::peers::PeerBook;
 use crate::view::{FrontView, ViewCell};
 use async_channel::{Receiver, Sender, bounded};
-use fleet::{FleetTiming, FleetView, KnownUpstream};
+use fleet::{EntryChange, FleetTiming, FleetView, KnownUpstream};
 use futures::future::{Either, select};
 use grant::{OwnerMap, WireOwners};
 use indexmap::IndexMap;
@@ -79,8 +79,8 @@
     owner_versions: IndexMap<ServiceName, u64>,
     /// Earlier owners, from which changes are told.
     earlier_owners: Vec<(ServiceName, u64, OwnerMap)>,
-    /// The newest row of each entry, removed ones too, in order of their versions.
-    entry_rows: Vec<TableRow>,
+    /// The newest change of each entry, removed ones too, in order of their versions.
+    entry_changes: Vec<EntryChange>,
     /// Version up to which the entries are known.
     entries_version: u64,
     has_entries: bool,
@@ -110,7 +110,7 @@
                 fleet: FleetView::new(timing),
                 owner_versions: IndexMap::new(),
                 earlier_owners: Vec::new(),
-                entry_rows: Vec::new(),
+                entry_changes: Vec::new(),
                 entries_version: 0,
                 has_entries: false,
                 behind_since: None,
@@ -138,45 +138,59 @@
 
     fn take_all_entries(&self, page: &RowPage) {
         let now = self.clock.now();
-        let mut entries = Vec::with_capacity(page.rows.len());
-        for row in &page.rows {
-            let id = UpstreamId::from(row.key.as_str());
-            let Some(bytes) = &row.value else {
-                continue;
-            };
-            match self.platform.decode_entry(&id, bytes) {
-                Ok(entry) => entries.push(entry),
-                Err(error) => warn!(target: "fleet", "upstream={id} entry ignored: {error}"),
-            }
-        }
+        let mut changes = self.decode_entries(&page.rows);
+        let entries = changes.iter().filter_map(|change| change.entry.clone());
         let mut state = self.state.lock();
-        state.fleet.replace(now, entries);
+        state.fleet.replace(now, entries.collect());
         state.has_entries = true;
         state.entries_version = page.version;
         // Rows of this moment are all there are; what was removed before it has to
         // be told to hosts that lag behind, too.
-        let is_listed = |row: &TableRow| page.rows.iter().any(|listed| listed.key == row.key);
-        let mut rows: Vec<TableRow> = page.rows.clone();
-        for row in std::mem::take(&mut state.entry_rows) {
-            if is_listed(&row) {
+        for earlier in std::mem::take(&mut state.entry_changes) {
+            if changes.iter().any(|change| change.id == earlier.id) {
                 continue;
             }
-            let version = if row.value.is_some() {
+            let version = if earlier.entry.is_some() {
                 page.version
             } else {
-                row.version
+                earlier.version
             };
-            rows.push(TableRow {
-                value: None,
+            changes.push(EntryChange {
+                entry: None,
                 version,
-                ..row
+                ..earlier
             });
         }
-        rows.sort_by_key(|row| row.version);
-        state.entry_rows = rows;
+        changes.sort_by_key(|change| change.version);
+        state.entry_changes = changes;
         self.publish_fleet(&state);
     }
 
+    /// Decodes rows of entries; what can't be read names no upstream.
+    fn decode_entries(&self, rows: &[TableRow]) -> Vec<EntryChange> {
+        let decode = |row: &TableRow| {
+            let id = UpstreamId::from(row.key.as_str());
+            let decoded = row
+                .value
+                .as_ref()
+                .map(|bytes| self.platform.decode_entry(&id, bytes));
+            let entry = match decoded {
+                Some(Ok(entry)) => Some(entry),
+                Some(Err(error)) => {
+                    warn!(target: "fleet", "upstream={id} entry ignored: {error}");
+                    None
+                }
+                None => None,
+            };
+            EntryChange {
+                id,
+                version: row.version,
+                entry,
+            }
+        };
+        rows.iter().map(decode).collect()
+    }
+
     /// Returns the version of the sheet in force; 0 before the first.
     pub(crate) fn sheet_version(&self) -> u64 {
         let view = self.cell.load();
@@ -216,16 +230,16 @@
     /// Returns the version of the newest entry.
     pub(crate) fn last_entry_version(&self) -> u64 {
         let state = self.state.lock();
-        state.entry_rows.last().map_or(0, |row| row.version)
+        let last = state.entry_changes.last();
+        last.map_or(0, |change| change.version)
     }
 
-    /// Returns the rows of entries that are newer than `version`.
-    pub(crate) fn newer_entries(&self, version: u64) -> Vec<TableRow> {
+    /// Returns the changes of entries that are newer than `version`.
+    pub(crate) fn newer_entries(&self, version: u64) -> Vec<EntryChange> {
         let state = self.state.lock();
-        let from = state
-            .entry_rows
-            .partition_point(|row| row.version <= version);
-        state.entry_rows[from..].to_vec()
+        let changes = &state.entry_changes;
+        let from = changes.partition_point(|change| change.version <= version);
+        changes[from..].to_vec()
     }
 
     /// Takes in rows of a table that changed.
@@ -233,7 +247,7 @@
         match table {
             WatchedTable::Sheet => self.take_sheet(&page.rows),
             WatchedTable::Entries => {
-                self.take_entries(0, &page.rows);
+                self.take_entries(0, &self.decode_entries(&page.rows));
                 let mut state = self.state.lock();
                 state.entries_version = state.entries_version.max(page.version);
             }
@@ -277,49 +291,38 @@
         });
     }
 
-    /// Takes in rows of entries, in order of their versions; those that are known
-    /// already are passed over. All rows are if those up to `base` are not known, as
-    /// some between would be missed.
-    pub(crate) fn take_entries(&self, base: u64, rows: &[TableRow]) {
+    /// Takes in changes of entries, in order of their versions; those that are known
+    /// already are passed over. All are if those up to `base` are not known, as some
+    /// between would be missed.
+    pub(crate) fn take_entries(&self, base: u64, changes: &[EntryChange]) {
         let now = self.clock.now();
         let mut state = self.state.lock();
         let known = state.entries_version;
-        let has_news = rows.iter().any(|row| row.version > known);
+        let has_news = changes.iter().any(|change| change.version > known);
         if !state.has_entries || known < base || !has_news {
             return;
         }
-        for row in rows {
-            if row.version <= known {
+        for change in changes {
+            let EntryChange { id, version, entry } = change;
+            if *version <= known {
                 continue;
             }
-            state.entries_version = state.entries_version.max(row.version);
-            state.entry_rows.retain(|earlier| earlier.key != row.key);
-            state.entry_rows.push(row.clone());
-            let id = UpstreamId::from(row.key.as_str());
-            let decoded = row
-                .value
-                .as_ref()
-                .map(|bytes| self.platform.decode_entry(&id, bytes));
-            match decoded {
-                Some(Ok(entry)) => {
-                    if !state.fleet.apply(now, entry.clone()) {
-                        continue;
-                    }
-                    info!(
-                        target: "fleet",
-                        "upstream={id} service={} address={} state={:?} run={} row={}",
-                        entry.service, entry.address, entry.state, entry.started_at_ms, row.version,
-                    );
-                }
-                Some(Err(error)) => {
-                    warn!(target: "fleet", "upstream={id} entry ignored: {error}");
-                    state.fleet.note_missing(now, id.as_str());
-                }
-                None => {
-                    info!(target: "fleet", "upstream={id} state=missing row={}", row.version);
-                    state.fleet.note_missing(now, id.as_str());
-                }
+            state.entries_version = state.entries_version.max(*version);
+            state.entry_changes.retain(|earlier| earlier.id != *id);
+            state.entry_changes.push(change.clone());
+            let Some(entry) = entry else {
+                info!(target: "fleet", "upstream={id} state=missing row={version}");
+                state.fleet.note_missing(now, id.as_str());
+                continue;
+            };
+            if !state.fleet.apply(now, entry.clone()) {
+                continue;
             }
+            info!(
+                target: "fleet",
+                "upstream={id} service={} address={} state={:?} run={} row={version}",
+                entry.service, entry.address, entry.state, entry.started_at_ms,
+            );
         }
         self.publish_fleet(&state);
     }
