Keep owners in the store in a compact row

Change: the row is encoded like messages, upstreams named once. 508 ranges with six earlier holders each take less than 48 KB before base64. Test: to_row_fits_the_store_when_every_range_has_earlier_holders.

--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -533,7 +533,7 @@
         for (service, map) in owners {
             let name = RowName::new(&tables.owners, service.as_str());
             let version = self.owner_versions.get(service).copied().unwrap_or(0);
-            let value = encode(map);
+            let value = map.to_row();
             write.checks.push((name.clone(), version));
             write.sets.push((name, value.clone()));
             values.push((service.clone(), value));
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -18,7 +18,7 @@
 pub(crate) const DATAGRAM_BYTES: usize = 60 << 10;
 /// First byte of every message; another one is another format, of a version of the
 /// program that is being replaced.
-const FORMAT: u8 = 8;
+const FORMAT: u8 = 9;
 
 /// A datagram that holds no message.
 #[derive(Debug)]
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -177,7 +177,12 @@
 
     /// Notes that the store has answered this host.
     pub(crate) fn note_store_seen(&self) {
-        self.state.lock().store_seen_at = Some(self.clock.now());
+        let mut state = self.state.lock();
+        state.store_seen_at = Some(self.clock.now());
+        if state.is_helper && !state.is_leader_live {
+            // A leader without the store waits for this word. One wake-up is enough.
+            let _is_waking = self.wake.try_send(());
+        }
     }
 
     /// Returns whether the store has answered this host lately.
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -475,14 +475,10 @@
 
 /// Decodes a row of owners; a row that can't be read or has gaps is ignored.
 pub(crate) fn decode_owners(service: &ServiceName, bytes: &[u8]) -> Option<OwnerMap> {
-    match serde_json::from_slice::<OwnerMap>(bytes) {
-        Ok(map) if map.is_whole() => Some(map),
-        Ok(_gaps) => {
-            warn!(target: "owners", "service={service} row ignored: ranges have gaps");
-            None
-        }
+    match OwnerMap::from_row(bytes) {
+        Ok(map) => Some(map),
         Err(error) => {
-            warn!(target: "owners", "service={service} row ignored: {error}");
+            warn!(target: "owners", "service={service} ignored: {error}");
             None
         }
     }
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -39,7 +39,7 @@
 pub use loads::KeyLoads;
 pub use map::{Holder, OwnedRange, OwnerMap};
 pub use timing::GrantTiming;
-pub use wire::WireOwners;
+pub use wire::{OwnerRowError, WireOwners};
 
 /// Number of keys that a divided service has.
 pub const KEYS: u32 = 65_536;
--- a/crates/grant/src/map.rs
+++ b/crates/grant/src/map.rs
@@ -2,7 +2,6 @@
 
 use crate::KEYS;
 use kernel::UpstreamId;
-use serde::{Deserialize, Serialize};
 
 /// One run of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -14,8 +13,7 @@
 }
 
 /// A range of keys and its owner.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "WireRange", into = "WireRange")]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OwnedRange {
     /// First key.
     pub first: u16,
@@ -34,51 +32,6 @@
     pub earlier: Vec<(Holder, u64)>,
 }
 
-/// A range as rows and messages hold it: a list, as names would be most of it.
-#[derive(Serialize, Deserialize)]
-struct WireRange(
-    u16,
-    u16,
-    Option<(UpstreamId, u64)>,
-    u64,
-    bool,
-    Vec<(UpstreamId, u64, u64)>,
-);
-
-impl From<WireRange> for OwnedRange {
-    fn from(wire: WireRange) -> Self {
-        let WireRange(first, last, owner, epoch, is_held, earlier) = wire;
-        let earlier = earlier
-            .into_iter()
-            .map(|(upstream, run, epoch)| (Holder { upstream, run }, epoch));
-        Self {
-            first,
-            last,
-            owner: owner.map(|(upstream, run)| Holder { upstream, run }),
-            epoch,
-            is_held,
-            earlier: earlier.collect(),
-        }
-    }
-}
-
-impl From<OwnedRange> for WireRange {
-    fn from(range: OwnedRange) -> Self {
-        let earlier = range
-            .earlier
-            .into_iter()
-            .map(|(holder, epoch)| (holder.upstream, holder.run, epoch));
-        Self(
-            range.first,
-            range.last,
-            range.owner.map(|owner| (owner.upstream, owner.run)),
-            range.epoch,
-            range.is_held,
-            earlier.collect(),
-        )
-    }
-}
-
 impl OwnedRange {
     /// Returns everybody who may hold the range once its owner changes.
     pub(crate) fn possible_holders(&self) -> Vec<(Holder, u64)> {
@@ -91,7 +44,7 @@
 }
 
 /// Owners of all keys of a service, in order of the keys.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct OwnerMap {
     /// The ranges; they cover all keys without a gap, or there are none.
     pub ranges: Vec<OwnedRange>,
--- a/crates/grant/src/wire.rs
+++ b/crates/grant/src/wire.rs
@@ -1,13 +1,17 @@
-//! Owners as messages between hosts hold them.
+//! Owners as messages between hosts and the store's rows hold them.
 
 use crate::{Holder, OwnedRange, OwnerMap};
 use indexmap::IndexSet;
 use kernel::UpstreamId;
 use serde::{Deserialize, Serialize};
+use std::fmt;
 
-/// Ranges and their owners, without earlier holders, which only the leader needs.
+/// First byte of a row; another one is a row of another version of the program.
+const ROW_FORMAT: u8 = 1;
+
+/// Ranges, their owners and who else may hold them.
 ///
-/// Upstreams are named once, as names would be most of a message's bytes.
+/// Upstreams are named once, as names would be most of the bytes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WireOwners {
     /// Id and run of each upstream that is named by a range.
@@ -15,20 +19,73 @@
     ranges: Vec<WireRange>,
 }
 
-/// First and last key, the owner's place in the list from 1 on (0 for none), the
-/// epoch, and whether the owner has taken the grant.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-struct WireRange(u16, u16, u16, u64, bool);
+/// A range; holders are given by their place in the list.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct WireRange {
+    first: u16,
+    last: u16,
+    owner: Option<u16>,
+    epoch: u64,
+    is_held: bool,
+    earlier: Vec<(u16, u64)>,
+}
+
+/// A row of owners that can't be read.
+#[derive(Debug)]
+pub struct OwnerRowError(String);
+
+impl fmt::Display for OwnerRowError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "row of owners: {}", self.0)
+    }
+}
+
+impl std::error::Error for OwnerRowError {}
+
+impl OwnerMap {
+    /// Encodes the owners as a row of the store, whose rows are limited to 64 KB.
+    pub fn to_row(&self) -> Vec<u8> {
+        postcard::to_extend(&WireOwners::from(self), vec![ROW_FORMAT])
+            .expect("plain lists can be encoded")
+    }
+
+    /// Decodes a row of the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is no row of owners, or its ranges leave keys out.
+    pub fn from_row(row: &[u8]) -> Result<Self, OwnerRowError> {
+        let Some((&ROW_FORMAT, fields)) = row.split_first() else {
+            return Err(OwnerRowError("unknown format".to_owned()));
+        };
+        let wire: WireOwners =
+            postcard::from_bytes(fields).map_err(|error| OwnerRowError(error.to_string()))?;
+        let map = Self::from(wire);
+        if !map.is_whole() {
+            return Err(OwnerRowError("ranges have gaps".to_owned()));
+        }
+        Ok(map)
+    }
+}
 
 impl From<&OwnerMap> for WireOwners {
     fn from(map: &OwnerMap) -> Self {
         let mut holders: IndexSet<&Holder> = IndexSet::new();
-        let ranges = map.ranges.iter().map(|range| {
-            let owner = range.owner.as_ref();
-            let place = owner.map_or(0, |holder| holders.insert_full(holder).0 as u16 + 1);
-            WireRange(range.first, range.last, place, range.epoch, range.is_held)
-        });
-        let ranges = ranges.collect();
+        let mut ranges = Vec::with_capacity(map.ranges.len());
+        for range in &map.ranges {
+            let mut place = |holder| holders.insert_full(holder).0 as u16;
+            let owner = range.owner.as_ref().map(&mut place);
+            let earlier = range.earlier.iter();
+            let earlier = earlier.map(|(holder, epoch)| (place(holder), *epoch));
+            ranges.push(WireRange {
+                first: range.first,
+                last: range.last,
+                owner,
+                epoch: range.epoch,
+                is_held: range.is_held,
+                earlier: earlier.collect(),
+            });
+        }
         let holders = holders.into_iter();
         Self {
             holders: holders
@@ -42,21 +99,24 @@
 impl From<WireOwners> for OwnerMap {
     fn from(wire: WireOwners) -> Self {
         let WireOwners { holders, ranges } = wire;
+        let find = |place: u16| {
+            let (upstream, run) = holders.get(usize::from(place))?;
+            Some(Holder {
+                upstream: upstream.clone(),
+                run: *run,
+            })
+        };
         let ranges = ranges.into_iter().map(|range| {
-            let WireRange(first, last, place, epoch, is_held) = range;
-            let owner = usize::from(place)
-                .checked_sub(1)
-                .and_then(|index| holders.get(index));
+            let earlier = range.earlier.into_iter();
             OwnedRange {
-                first,
-                last,
-                owner: owner.map(|(upstream, run)| Holder {
-                    upstream: upstream.clone(),
-                    run: *run,
-                }),
-                epoch,
-                is_held,
-                earlier: Vec::new(),
+                first: range.first,
+                last: range.last,
+                owner: range.owner.and_then(find),
+                epoch: range.epoch,
+                is_held: range.is_held,
+                earlier: earlier
+                    .filter_map(|(place, epoch)| Some((find(place)?, epoch)))
+                    .collect(),
             }
         });
         Self {
--- a/crates/grant/tests/balance.rs
+++ b/crates/grant/tests/balance.rs
@@ -187,7 +187,7 @@
             };
         }
         deal.run(&upstreams, &loads, Duration::from_millis(100));
-        let row = serde_json::to_vec(deal.ledger.map()).expect("encoded");
+        let row = deal.ledger.map().to_row();
         assert!(
             row.len() < MOST_ROW_BYTES,
             "{} bytes in round {round}",
@@ -216,8 +216,8 @@
     let upstreams = candidates(&[0.7, 1.6, 1.0]);
     let mut deal = Deal::new();
     deal.run(&upstreams, &skewed(), Duration::from_secs(2));
-    let row = serde_json::to_vec(deal.ledger.map()).expect("encoded");
-    let decoded: OwnerMap = serde_json::from_slice(&row).expect("decoded");
+    let row = deal.ledger.map().to_row();
+    let decoded = OwnerMap::from_row(&row).expect("decoded");
     assert_eq!(decoded, *deal.ledger.map());
 }
 
--- a/crates/grant/tests/messages.rs
+++ b/crates/grant/tests/messages.rs
@@ -40,13 +40,47 @@
 }
 
 #[test]
-fn wire_owners_leave_earlier_holders_out() {
+fn forget_earlier_leaves_earlier_holders_out_of_messages() {
     let mut map = owners(3, 1);
+    let owners_alone = map.clone();
     let earlier = (map.ranges[0].owner.clone().unwrap(), 7);
     map.ranges[1].earlier.push(earlier);
-    let told = OwnerMap::from(WireOwners::from(&map));
     map.forget_earlier();
-    assert_eq!(told, map);
+    assert_eq!(OwnerMap::from(WireOwners::from(&map)), owners_alone);
+}
+
+#[test]
+fn to_row_fits_the_store_when_every_range_has_earlier_holders() {
+    // After several leaders in a row, each range may be held by those before.
+    let mut map = owners(254, 2);
+    let holders: Vec<_> = map
+        .ranges
+        .iter()
+        .filter_map(|range| range.owner.clone())
+        .collect();
+    for (index, range) in map.ranges.iter_mut().enumerate() {
+        for step in 1..=6 {
+            let holder = holders[(index + step * 41) % holders.len()].clone();
+            range
+                .earlier
+                .push((holder, (2 << 24) + (index * step) as u64));
+        }
+    }
+    let row = map.to_row();
+    // The store takes values of 64 KB in base64.
+    assert!(row.len() * 4 / 3 < 64 << 10, "{} bytes", row.len());
+    assert_eq!(OwnerMap::from_row(&row).expect("whole"), map);
+}
+
+#[test]
+fn from_row_refuses_what_is_no_row() {
+    let row = owners(9, 3).to_row();
+    OwnerMap::from_row(b"").unwrap_err();
+    OwnerMap::from_row(b"[1,2]").unwrap_err();
+    OwnerMap::from_row(&row[..row.len() / 2]).unwrap_err();
+    let mut gap = owners(9, 3);
+    gap.ranges.remove(4);
+    OwnerMap::from_row(&gap.to_row()).unwrap_err();
 }
 
 #[test]
