--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -5,14 +5,14 @@
 use crate::dispatch::Dispatcher;
 use crate::draw::DrawSource;
 use crate::metrics::FrontMetrics;
-use crate::peers::{LOAD_HALF_LIFE, PeerBook};
+use crate::peers::PeerBook;
 use crate::reports::ReportLink;
 use crate::watch::{ViewKeeper, decode_owners};
 use async_channel::{Receiver, Sender, unbounded};
 use async_std::future::timeout;
 use grant::{
     CallReply, Candidate, GrantCall, GrantLedger, GrantTiming, Holder, LastTerm, LeadClaimant,
-    LeadRow, LeadTerm, OwnerMap, admitted_shares,
+    LeadRow, LeadTerm, OwnerMap,
 };
 use indexmap::IndexMap;
 use kernel::{Clock, Moment, ServiceName, TaskScope};
@@ -70,11 +70,6 @@
 /// Addresses of upstreams that are kept, gone ones too; twice those of a large
 /// deployment.
 const MOST_ADDRESSES: usize = 4_096;
-/// How often it is worked out what overloaded upstreams can serve; hosts report about
-/// as often.
-const ADMIT_PERIOD: Duration = Duration::from_millis(500);
-/// Overloaded upstreams that hosts are told of, the most overloaded first.
-const MOST_ADMITTED: usize = 60;
 /// Range of an upstream's speed against the average that is believed.
 const SPEED_RANGE: (f64, f64) = (0.3, 3.0);
 
@@ -127,7 +122,6 @@
     failed_polls: u32,
     renew_at: Moment,
     step_at: Moment,
-    admit_at: Moment,
     crowd: (usize, Moment),
     was_leading: bool,
     was_live: bool,
@@ -163,7 +157,6 @@
             failed_polls: 0,
             renew_at: Moment::ZERO,
             step_at: Moment::ZERO,
-            admit_at: Moment::ZERO,
             crowd: (0, Moment::ZERO),
             was_leading: false,
             was_live: true,
@@ -581,9 +574,6 @@
             self.set_long(true);
         }
         self.step_at = now + STEP_PAUSE;
-        let is_admission_due = now >= self.admit_at;
-        let mut admitted = Vec::new();
-        let hosts = self.parts.book.hosts().len();
         let mut commits = Vec::new();
         let mut calls = Vec::new();
         for service in self.divided_services() {
@@ -598,16 +588,6 @@
                 .entry(service.clone())
                 .or_insert_with(|| GrantLedger::new(self.timing, term));
             let step = ledger.step(now, &candidates, &loads);
-            if is_admission_due {
-                let map = ledger.map();
-                admitted.extend(admitted_shares(
-                    map,
-                    &loads,
-                    &candidates,
-                    hosts,
-                    LOAD_HALF_LIFE,
-                ));
-            }
             for call in step.calls {
                 calls.push((service.clone(), call));
             }
@@ -615,12 +595,6 @@
                 commits.push((service, map));
             }
         }
-        if is_admission_due {
-            self.admit_at = now + ADMIT_PERIOD;
-            let shares = admitted.into_iter().take(MOST_ADMITTED);
-            let shares = shares.map(|(id, share)| (id, (share * 1_000.0) as u16));
-            self.parts.book.set_admitted(shares.collect());
-        }
         for (service, call) in calls {
             let address = self
                 .addresses
@@ -759,7 +733,6 @@
                 Candidate {
                     holder,
                     capacity: f64::from(slots.max(1)) * speed.clamp(SPEED_RANGE.0, SPEED_RANGE.1),
-                    rate: (service_ms > 0.0).then(|| f64::from(slots) * 1_000.0 / service_ms),
                     takes_keys,
                 }
             });
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -18,7 +18,7 @@
 pub(crate) const DATAGRAM_BYTES: usize = 60 << 10;
 /// First byte of every message; another one is another format, of a version of the
 /// program that is being replaced.
-const FORMAT: u8 = 9;
+const FORMAT: u8 = 10;
 
 /// A datagram that holds no message.
 #[derive(Debug)]
@@ -236,9 +236,6 @@
     pub entries: Vec<WireEntry>,
     /// What all hosts have seen of the upstreams.
     pub norms: Vec<WireLoad>,
-    /// Share of the requests for its keys, in thousandths, that each overloaded upstream
-    /// can serve.
-    pub admitted: Vec<(UpstreamId, u16)>,
     pub standbys: Vec<String>,
     /// All hosts' addresses, for a standby that may have to lead.
     pub peers: Vec<SocketAddr>,
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -27,7 +27,7 @@
 const NORMS_PERIOD: Duration = Duration::from_millis(700);
 /// Time in which the load on keys fades by half; long enough to even out chance,
 /// short enough to follow a key that becomes hot.
-pub(crate) const LOAD_HALF_LIFE: Duration = Duration::from_secs(3);
+const LOAD_HALF_LIFE: Duration = Duration::from_secs(3);
 /// Least time between two fadings of the load on keys.
 const FADE_PERIOD: Duration = Duration::from_millis(175);
 
@@ -92,8 +92,6 @@
     odd_at: Moment,
     odd_from: usize,
     faded_at: Moment,
-    /// What the overloaded upstreams can serve, in thousandths of their requests.
-    admitted: Vec<(UpstreamId, u16)>,
 }
 
 impl PeerBook {
@@ -126,7 +124,6 @@
                 odd_at: Moment::ZERO,
                 odd_from: 0,
                 faded_at,
-                admitted: Vec::new(),
             }),
         }
     }
@@ -353,16 +350,6 @@
         targets
     }
 
-    /// Notes what the overloaded upstreams can serve, as this leader works it out.
-    pub(crate) fn set_admitted(&self, admitted: Vec<(UpstreamId, u16)>) {
-        self.state.lock().admitted = admitted;
-    }
-
-    /// Returns what the overloaded upstreams can serve.
-    pub(crate) fn admitted(&self) -> Vec<(UpstreamId, u16)> {
-        self.state.lock().admitted.clone()
-    }
-
     /// Returns the next upstreams whose speed differs clearly from the usual one; the
     /// others come with later replies, as small hosts have narrow links.
     pub(crate) fn next_norms(&self) -> Vec<WireLoad> {
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -15,7 +15,6 @@
 use async_std::net::UdpSocket;
 use fleet::EntryChange;
 use grant::LastTerm;
-use kernel::UpstreamId;
 use log::{debug, warn};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -65,7 +64,6 @@
             if self.socket.local_addr().ok() == Some(leader) {
                 self.book.take(&report, leader);
                 self.learn(&self.book.next_norms());
-                self.learn_admitted(&self.book.admitted());
                 continue;
             }
             if let Some(bytes) = encode(&PeerMessage::Report(report)) {
@@ -132,7 +130,6 @@
             entries_base: known.entries,
             entries: Vec::new(),
             norms,
-            admitted: self.book.admitted(),
             standbys: self.book.standbys(),
             peers: if is_for_standby {
                 self.book.addresses()
@@ -156,7 +153,6 @@
                 suspects: Vec::new(),
                 owners: Vec::new(),
                 norms: Vec::new(),
-                admitted: Vec::new(),
                 peers: Vec::new(),
                 entries_base,
                 entries,
@@ -177,15 +173,6 @@
         }
     }
 
-    fn learn_admitted(&self, admitted: &[(UpstreamId, u16)]) {
-        let parts = &self.dispatcher.parts;
-        let now = parts.clock.now();
-        let mut place = parts.place.lock();
-        for (id, thousandths) in admitted {
-            place.learn_admitted(now, id, f64::from(*thousandths) / 1_000.0);
-        }
-    }
-
     fn report(&self) -> HostReport {
         let parts = &self.dispatcher.parts;
         let mut loads = Vec::new();
@@ -280,7 +267,6 @@
                     self.take_suspects(&reply.suspects);
                     self.dispatcher.parts.budgets.set_hosts(reply.hosts);
                     self.learn(&reply.norms);
-                    self.learn_admitted(&reply.admitted);
                     let changes = reply.entries.into_iter().map(EntryChange::from);
                     let changes: Vec<EntryChange> = changes.collect();
                     self.keeper.take_entries(reply.entries_base, &changes);
--- a/crates/grant/src/balance.rs
+++ b/crates/grant/src/balance.rs
@@ -45,8 +45,6 @@
     pub holder: Holder,
     /// Its slots times its speed.
     pub capacity: f64,
-    /// Requests a second that it can serve, once that is measured.
-    pub rate: Option<f64>,
     /// Whether it may be given more keys; else it keeps what it has.
     pub takes_keys: bool,
 }
@@ -60,7 +58,6 @@
                 run,
             },
             capacity,
-            rate: None,
             takes_keys: true,
         }
     }
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -23,7 +23,6 @@
 //! assert!(planned.ranges.iter().all(|range| !range.is_held));
 //! ```
 
-mod admit;
 mod balance;
 mod lead;
 mod ledger;
@@ -32,7 +31,6 @@
 mod timing;
 mod wire;
 
-pub use admit::admitted_shares;
 pub use balance::Candidate;
 pub use lead::{LastTerm, LeadClaimant, LeadRow, LeadTerm};
 pub use ledger::{CallKind, CallReply, GrantCall, GrantLedger, LedgerStep};
--- a/crates/grant/src/loads.rs
+++ b/crates/grant/src/loads.rs
@@ -58,18 +58,18 @@
 
     /// Returns the share of all load that a range of keys has.
     pub fn share(&self, first: u16, last: u16) -> f64 {
-        let sum = sum_buckets(first, last, |bucket| self.bucket(bucket));
+        let mut sum = 0.0;
+        let first_bucket = u32::from(first) / BUCKET_KEYS;
+        let last_bucket = u32::from(last) / BUCKET_KEYS;
+        for bucket in first_bucket..=last_bucket {
+            let begins = (bucket * BUCKET_KEYS).max(u32::from(first));
+            let ends = (bucket * BUCKET_KEYS + BUCKET_KEYS - 1).min(u32::from(last));
+            let part = (ends - begins + 1) as f32 / BUCKET_KEYS as f32;
+            sum += self.bucket(bucket as usize) * part;
+        }
         f64::from(sum / self.whole())
     }
 
-    /// Returns the requests a second on a range of keys, if the counts fade with the
-    /// half-life `half`.
-    pub fn rate(&self, first: u16, last: u16, half: Duration) -> f64 {
-        // In a steady load the faded counts come to the load of this time.
-        let span = half.as_secs_f64() / std::f64::consts::LN_2;
-        f64::from(sum_buckets(first, last, |bucket| self.counts[bucket])) / span
-    }
-
     /// Returns the last key of the longest beginning of a range that has at most
     /// `most` of all load; `None` when not even one bucket fits.
     pub fn front_piece(&self, first: u16, last: u16, most: f64) -> Option<u16> {
@@ -134,17 +134,3 @@
         self.total + self.prior() * BUCKETS as f32
     }
 }
-
-/// Adds up what `load` gives for the buckets of a range of keys.
-fn sum_buckets(first: u16, last: u16, load: impl Fn(usize) -> f32) -> f32 {
-    let mut sum = 0.0;
-    let first_bucket = u32::from(first) / BUCKET_KEYS;
-    let last_bucket = u32::from(last) / BUCKET_KEYS;
-    for bucket in first_bucket..=last_bucket {
-        let begins = (bucket * BUCKET_KEYS).max(u32::from(first));
-        let ends = (bucket * BUCKET_KEYS + BUCKET_KEYS - 1).min(u32::from(last));
-        let part = (ends - begins + 1) as f32 / BUCKET_KEYS as f32;
-        sum += load(bucket as usize) * part;
-    }
-    sum
-}
--- a/crates/place/src/book.rs
+++ b/crates/place/src/book.rs
@@ -14,10 +14,6 @@
 /// Shortest time after which a refused client is asked to come back.
 const LEAST_RETRY: Duration = Duration::from_millis(50);
 
-/// How many times longer a client waits that an overloaded holder of keys can't serve;
-/// the load on a key changes within seconds at best.
-const OVERLOAD_RETRIES: u32 = 16;
-
 /// An upstream that may run a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Choice {
@@ -127,30 +123,8 @@
             .learn(now, norm);
     }
 
-    /// Takes in which share of its requests an overloaded holder of keys can serve.
-    pub fn learn_admitted(&mut self, now: Moment, id: &UpstreamId, share: f64) {
-        let state = self.upstreams.entry(id.clone()).or_default();
-        state.learn_admitted(now, share);
-    }
-
-    /// Returns whether a request for the keys of `only` is one that it can serve.
-    fn is_admitted(&mut self, now: Moment, only: &Choice) -> bool {
-        let share = self
-            .upstreams
-            .get(&only.id)
-            .and_then(|state| state.admitted(now));
-        share.is_none_or(|share| self.rng.f64() < share)
-    }
-
     /// Chooses the upstream for a request.
     pub fn choose(&mut self, now: Moment, choices: &[Choice], need: &WorkNeed) -> Placement {
-        if let [only] = choices
-            && !self.is_admitted(now, only)
-        {
-            return Placement::Refuse {
-                retry_after: LEAST_RETRY * OVERLOAD_RETRIES,
-            };
-        }
         let mut best: Option<(f64, f64, usize)> = None;
         let mut is_any_reached = false;
         let offset = if choices.is_empty() {
--- a/crates/place/src/state.rs
+++ b/crates/place/src/state.rs
@@ -14,9 +14,6 @@
 const REPORT_HALF_LIFE_MS: f64 = 1_500.0;
 /// Age at which what all hosts have seen is out of date.
 const NORM_KEPT: Duration = Duration::from_secs(5);
-/// Age at which the share that an overloaded upstream can serve is out of date; two
-/// reports without it.
-const ADMITTED_KEPT: Duration = Duration::from_millis(1_600);
 /// Weight of this host's own measurements beside those of all hosts.
 const OWN_WEIGHT: f64 = 0.25;
 /// Weight of a new outcome in the share of failures.
@@ -93,8 +90,6 @@
     probe_at: Moment,
     seen: SeenSums,
     norm: Option<(Moment, SeenLoad)>,
-    /// Share of the requests for its keys that it can serve, and when that was told.
-    admitted: Option<(Moment, f64)>,
 }
 
 /// Sums since the last report.
@@ -120,7 +115,6 @@
             probe_at: Moment::ZERO,
             seen: SeenSums::default(),
             norm: None,
-            admitted: None,
         }
     }
 }
@@ -151,18 +145,6 @@
         self.norm = Some((now, norm));
     }
 
-    /// Takes in which share of the requests for its keys it can serve.
-    pub(crate) fn learn_admitted(&mut self, now: Moment, share: f64) {
-        self.admitted = Some((now, share));
-    }
-
-    /// Returns the share of the requests for its keys that it can serve, while it is
-    /// overloaded.
-    pub(crate) fn admitted(&self, now: Moment) -> Option<f64> {
-        let (at, share) = self.admitted?;
-        (now - at < ADMITTED_KEPT).then_some(share)
-    }
-
     fn norm(&self, now: Moment) -> Option<SeenLoad> {
         let (at, norm) = self.norm?;
         (now - at < NORM_KEPT).then_some(norm)
