Wait for unanswered grants as long as any may hold; let weak leaders hand over

A successor now waits as long as any grant may hold, unless every call was answered; a leader that gives up waits 0.15 s for its last answers. Test: the seeded world lets the store go away; five cases failed before.

--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -62,6 +62,14 @@
 /// For which the store must have failed the leader before it leaves the lease to a
 /// standby that reaches the store; two failed writes.
 const YIELD_AFTER: Duration = Duration::from_millis(300);
+/// For which a weak host leads before it looks for a stronger one; reports of all hosts
+/// have come by then.
+const WEAK_TERM: Duration = Duration::from_millis(1_500);
+/// How many times stronger another host must be to lead in place of a weak one.
+const STRONGER: u32 = 2;
+/// For which a leader that gives up waits for answers to its last calls; most upstreams
+/// answer within a tenth of it.
+const LAST_ANSWERS: Duration = Duration::from_millis(150);
 /// Time before the lease's end at which grants are renewed for the longest time, as
 /// the store has failed; three renewals take less.
 const LAST_RENEWAL: Duration = Duration::from_millis(700);
@@ -129,6 +137,8 @@
     terms_ended: Arc<AtomicU64>,
     /// The term that this host left to a standby; it must not lead in it again.
     yielded_term: Option<u64>,
+    /// When this host began to lead.
+    led_since: Moment,
     /// Since when the store has failed this leader.
     failing_since: Option<Moment>,
     /// Version of the entries that all hosts were told of.
@@ -162,6 +172,7 @@
             was_live: true,
             terms_ended: Arc::default(),
             yielded_term: None,
+            led_since: Moment::ZERO,
             failing_since: None,
             spread_version: 0,
             parts,
@@ -228,6 +239,7 @@
             return;
         }
         self.was_leading = is_leading;
+        self.led_since = self.now();
         self.parts.metrics.is_leader.set(i64::from(is_leading));
         let term = self.row.as_ref().map_or(0, |row| row.term);
         if !is_leading {
@@ -739,17 +751,32 @@
         candidates.collect()
     }
 
-    /// Leaves the lease to a host that reaches the store when this one does not; returns
-    /// whether it did.
+    /// Returns a standby that is to lead in place of this host, if this one is weak.
+    fn stronger_standby(&self) -> Option<String> {
+        let strength = self.parts.settings.strength();
+        if strength >= LEADING_STRENGTH {
+            return None;
+        }
+        self.parts.book.stronger_standby(strength * STRONGER)
+    }
+
+    /// Leaves the lease to a host that reaches the store when this one does not, or that
+    /// is much stronger; returns whether it did.
     async fn yield_lease(&mut self, now: Moment) -> bool {
         let is_failing = self
             .failing_since
             .is_some_and(|since| now - since >= YIELD_AFTER);
-        let successor = self.parts.book.successor().filter(|_| is_failing);
+        let successor = if is_failing {
+            self.parts.book.successor()
+        } else if now - self.led_since >= WEAK_TERM {
+            self.stronger_standby()
+        } else {
+            None
+        };
         let Some(successor) = successor else {
             return false;
         };
-        let (term, last) = self.end_term(now);
+        let (term, last) = self.end_term().await;
         self.yielded_term = Some(term);
         let link = &self.parts.link;
         link.announce_end(term, last, Some(&successor)).await;
@@ -761,17 +788,28 @@
         true
     }
 
+    fn is_clean(&self) -> bool {
+        let now = self.now();
+        self.ledgers.values().all(|ledger| ledger.is_clean(now))
+    }
+
     fn give_up(&mut self) {
         self.term.give_up();
         self.terms_ended.fetch_add(1, Ordering::SeqCst);
     }
 
     /// Stops leading; returns the term and what it leaves behind.
-    fn end_term(&mut self, now: Moment) -> (u64, LastTerm) {
+    async fn end_term(&mut self) -> (u64, LastTerm) {
         self.give_up();
+        // With every call answered, the successor need not wait for any.
+        let wait_until = self.now() + LAST_ANSWERS;
+        while self.now() < wait_until && !self.is_clean() {
+            self.wait_for_event(TICK / 5).await;
+        }
+        let now = self.now();
         let held = self.ledgers.values().map(|ledger| ledger.held_for(now));
         let last = LastTerm {
-            is_clean: self.ledgers.values().all(|ledger| ledger.is_clean(now)),
+            is_clean: self.is_clean(),
             held_for: Some(held.max().unwrap_or_default()),
         };
         self.ledgers.clear();
@@ -790,7 +828,7 @@
         if !self.term.is_valid(now) {
             return;
         }
-        let (term, last) = self.end_term(now);
+        let (term, last) = self.end_term().await;
         let row = self.lead_row(term, 0, last);
         let (write, _) = self.row_write(&row, &[]);
         let written = timeout(STORE_LIMIT, self.parts.store.write(&write)).await;
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -203,6 +203,19 @@
         best.map(|(name, _)| name.clone())
     }
 
+    /// Returns a standby that has reported lately and is stronger than `strength`.
+    pub(crate) fn stronger_standby(&self, strength: u32) -> Option<String> {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let mut standbys = state
+            .standbys
+            .iter()
+            .filter_map(|name| state.hosts.get_key_value(name));
+        let found =
+            standbys.find(|(_, host)| host.strength > strength && now - host.heard_at < STORE_SEEN);
+        found.map(|(name, _)| name.clone())
+    }
+
     /// Returns whether this host looks at the store while the leader does not reach it.
     pub(crate) fn is_helper(&self) -> bool {
         let state = self.state.lock();
@@ -272,6 +285,9 @@
                     Some(successor) => successor == own,
                     None => state.is_standby,
                 };
+                if state.is_end_new {
+                    state.heard_at = None;
+                }
             }
             return true;
         }
--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -161,15 +161,11 @@
     /// Unless that one ended cleanly, grants of it may be under way.
     pub fn adopt(&mut self, now: Moment, map: OwnerMap, last: LastTerm) {
         self.epoch = self.epoch.max(map.greatest_epoch());
-        // Calls of the leader before may have been on their way for this long.
-        let left_by = now + self.timing.call_limit;
+        // Calls of the leader before may have been on their way for a while.
         let longest = self.timing.call_limit + GrantTiming::bound(self.timing.long_hold);
         let held_until = now + last.held_for.unwrap_or(longest).min(longest);
-        let unanswered_until = if last.is_clean {
-            now
-        } else {
-            left_by + GrantTiming::bound(self.timing.hold)
-        };
+        // One without an answer may take effect after a release, for as long as any.
+        let unanswered_until = if last.is_clean { now } else { held_until };
         for range in &map.ranges {
             let earlier = range.earlier.iter().map(|(holder, _)| holder);
             for holder in range.owner.iter().chain(earlier) {
--- a/crates/grant/src/timing.rs
+++ b/crates/grant/src/timing.rs
@@ -14,7 +14,8 @@
 pub struct GrantTiming {
     /// For which a grant holds; a silent loss of an upstream lasts this long.
     pub hold: Duration,
-    /// The same while the store is away, so that keys outlast the outage.
+    /// The same while the store is away, so that keys outlast most outages; after the
+    /// loss of a leader, keys of silent upstreams wait for as long.
     pub long_hold: Duration,
     /// After which a grant is renewed; leaves time for two more tries.
     pub renew: Duration,
@@ -34,7 +35,7 @@
         let preset = Self::default();
         Self {
             hold: preset.hold.min(most),
-            long_hold: most,
+            long_hold: preset.long_hold.min(most),
             renew: preset.renew.min(most / 3),
             ..preset
         }
@@ -56,7 +57,7 @@
     fn default() -> Self {
         Self {
             hold: Duration::from_secs(3),
-            long_hold: Duration::from_secs(10),
+            long_hold: Duration::from_secs(6),
             renew: Duration::from_millis(900),
             call_limit: Duration::from_millis(500),
             lease: Duration::from_millis(1_600),
--- a/crates/grant/tests/world/mod.rs
+++ b/crates/grant/tests/world/mod.rs
@@ -28,6 +28,8 @@
     /// has waited for longer.
     pub delivery_ms: u64,
     pub leader_loss: f64,
+    /// The store goes away for the leader, or comes back.
+    pub store_turn: f64,
     pub drain: f64,
     pub restart: f64,
     pub join: f64,
@@ -43,6 +45,7 @@
         lost_write: 0.0,
         delivery_ms: 100,
         leader_loss: 0.0,
+        store_turn: 0.0,
         drain: 0.0,
         restart: 0.0,
         join: 0.0,
@@ -55,6 +58,7 @@
         lost_write: 0.2,
         delivery_ms: 100,
         leader_loss: 0.004,
+        store_turn: 0.004,
         drain: 0.01,
         restart: 0.005,
         join: 0.012,
@@ -221,6 +225,11 @@
         if self.chance(trouble.leader_loss) {
             self.replace_leader();
         }
+        if self.chance(trouble.store_turn) {
+            // Grants are for the longest time while the store is away.
+            let is_away = self.rng.bool();
+            self.ledger.set_long(self.now, is_away);
+        }
         let index = self.rng.usize(..self.upstreams.len());
         let staying = self
             .upstreams
