Measure service times by route and refuse nobody at a free slot

Cause: the selector assumed 150 ms for an upstream that was never measured. Kinds that share an upstream differ in work, and one mean per upstream judged the short ones by the long ones.

Change: service times are measured by route, upstreams by their slowness relative to the mean. Only the expected wait for a slot refuses a request; a free slot is always used. Pauses and half-lives are multiples of the measured service time, costs of other failure domains fractions of the target. Hosts tell the leader the slowness of upstreams and not times.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -14,7 +14,7 @@
 use log::{debug, info};
 use parking_lot::Mutex;
 use place::{
-    LoadReport, MoveTracker, RequestOutcome, Selection, SelectionLimits, SentRequest,
+    LoadReport, MoveTracker, RequestOutcome, RequestWork, Selection, SelectionLimits, SentRequest,
     UpstreamCandidate, UpstreamSelector,
 };
 use retry::QuarantineList;
@@ -31,11 +31,12 @@
 /// Fraction of the target latency within which the answer must be expected when a
 /// request is sent; the rest covers the error of the estimate.
 const TARGET_LATENCY_FRACTION: f64 = 0.9;
-/// Cost of a small answer from another failure domain, as time: the round trip.
-const CROSS_DOMAIN_COST: Duration = Duration::from_millis(3);
-/// Cost of a large answer from another failure domain, as time: links between domains
-/// are narrow and expensive.
-const CROSS_DOMAIN_DOWNLOAD_COST: Duration = Duration::from_millis(150);
+/// Cost of a small answer from another failure domain, as a fraction of the target
+/// latency: the round trip is short, so that only equal upstreams differ by it.
+const CROSS_DOMAIN_COST_FRACTION: f64 = 0.01;
+/// Cost of a large answer from another failure domain, as a fraction of the target
+/// latency: links between domains are narrow and expensive.
+const CROSS_DOMAIN_DOWNLOAD_COST_FRACTION: f64 = 0.3;
 /// Fraction of the drain bound for which a leaving holder of keys is still used. The
 /// news that it leaves may have taken over a second to arrive.
 const DRAIN_USE_FRACTION: f64 = 0.25;
@@ -90,6 +91,7 @@
 /// Records the end of a sent request when dropped, including when its task is canceled.
 struct SendGuard<'a> {
     state: &'a DispatchState,
+    work: RequestWork<'a>,
     sent: SentRequest,
     outcome: RequestOutcome,
     report: Option<LoadReport>,
@@ -99,7 +101,7 @@
     fn drop(&mut self) {
         let now = self.state.clock.now();
         let mut selector = self.state.selector.lock();
-        selector.record_outcome(now, &self.sent, self.outcome, self.report);
+        selector.record_outcome(now, self.work, &self.sent, self.outcome, self.report);
     }
 }
 
@@ -250,12 +252,14 @@
             request.id, request.service, entry.id, expected.as_millis(),
             (request.deadline - now).as_millis(),
         );
+        let work = request.work();
         let sent = state
             .selector
             .lock()
-            .record_sent(now, &entry.id, entry.slots);
+            .record_sent(now, work, &entry.id, entry.slots);
         let mut guard = SendGuard {
             state,
+            work,
             sent,
             outcome: RequestOutcome::Abandoned,
             report: None,
@@ -329,20 +333,18 @@
         let rule = request.route.rule();
         let elapsed = now - request.received_at;
         let remaining = request.deadline - now;
-        let target = rule
+        let target_left = rule
             .target_latency
             .mul_f64(TARGET_LATENCY_FRACTION)
             .saturating_sub(elapsed);
+        let cost_fraction = match rule.kind {
+            RequestKind::Download => CROSS_DOMAIN_DOWNLOAD_COST_FRACTION,
+            RequestKind::Idempotent | RequestKind::NonIdempotent => CROSS_DOMAIN_COST_FRACTION,
+        };
         SelectionLimits {
-            max_wait: if target.is_zero() {
-                remaining
-            } else {
-                target.min(remaining)
-            },
-            cross_domain_cost: match rule.kind {
-                RequestKind::Download => CROSS_DOMAIN_DOWNLOAD_COST,
-                RequestKind::Idempotent | RequestKind::NonIdempotent => CROSS_DOMAIN_COST,
-            },
+            target_left,
+            time_left: remaining,
+            cross_domain_cost: rule.target_latency.mul_f64(cost_fraction),
         }
     }
 
@@ -447,7 +449,9 @@
         view: &FrontView,
     ) -> DispatchTarget {
         let limits = Self::selection_limits(now, request);
-        let selection = self.state.selector.lock().choose(now, candidates, &limits);
+        let mut selector = self.state.selector.lock();
+        let selection = selector.choose(now, request.work(), candidates, &limits);
+        drop(selector);
         match selection {
             Selection::Send { id, expected } => match view.upstreams.get(&id) {
                 Some(upstream) => DispatchTarget::Send(Box::new(upstream.entry.clone()), expected),
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -431,18 +431,18 @@
                 run: known.entry.started_at_ms,
             };
             if known.is_listed() || known.accepts_requests(now) {
-                let service_ms = self.context.peers.service_ms(id.as_str()).unwrap_or(0.0);
-                measured.push((holder, known.entry.slots, known.is_listed(), service_ms));
+                let slowness = self.context.peers.slowness(id.as_str()).unwrap_or(0.0);
+                measured.push((holder, known.entry.slots, known.is_listed(), slowness));
             }
         }
-        let timed = measured.iter().filter(|(.., service_ms)| *service_ms > 0.0);
+        let timed = measured.iter().filter(|(.., slowness)| *slowness > 0.0);
         let count = timed.clone().count().max(1) as f64;
-        let average = timed.map(|(.., service_ms)| service_ms).sum::<f64>() / count;
+        let average = timed.map(|(.., slowness)| slowness).sum::<f64>() / count;
         let candidates = measured
             .into_iter()
-            .map(|(holder, slots, accepts_keys, service_ms)| {
-                let speed = if service_ms > 0.0 {
-                    average / service_ms
+            .map(|(holder, slots, accepts_keys, slowness)| {
+                let speed = if slowness > 0.0 {
+                    average / slowness
                 } else {
                     1.0
                 };
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -18,7 +18,7 @@
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 /// First byte of every message. A message with another format comes from a host that
 /// runs another version of the program during an upgrade.
-const FORMAT: u8 = 10;
+const FORMAT: u8 = 11;
 
 /// A message that could not be encoded or decoded.
 #[derive(Debug)]
@@ -107,23 +107,23 @@
     pub entries: u64,
 }
 
-/// Observed load of an upstream: its id, the number of requests, and the service time
-/// in tenths of a millisecond.
+/// Observed load of an upstream: its id, the number of requests, and its slowness in
+/// thousandths.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct WireLoad(UpstreamId, u32, u32);
 
 impl From<(UpstreamId, ObservedLoad)> for WireLoad {
     fn from((id, load): (UpstreamId, ObservedLoad)) -> Self {
-        Self(id, load.requests, (load.service_ms * 10.0) as u32)
+        Self(id, load.requests, (load.slowness * 1_000.0) as u32)
     }
 }
 
 impl From<WireLoad> for (UpstreamId, ObservedLoad) {
     fn from(wire: WireLoad) -> Self {
-        let WireLoad(id, requests, service_tenths_ms) = wire;
+        let WireLoad(id, requests, slowness_thousandths) = wire;
         let load = ObservedLoad {
             requests,
-            service_ms: f64::from(service_tenths_ms) / 10.0,
+            slowness: f64::from(slowness_thousandths) / 1_000.0,
         };
         (id, load)
     }
@@ -238,7 +238,7 @@
     pub entries_base: u64,
     /// Entries that the receiver did not know, in order of version.
     pub entries: Vec<WireEntry>,
-    /// Load of upstreams with an unusual service time, as observed by all hosts.
+    /// Load of upstreams with an unusual slowness, as observed by all hosts.
     pub outliers: Vec<WireLoad>,
     pub standbys: Vec<String>,
     /// Addresses of all hosts, for a standby that may have to lead.
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -90,7 +90,7 @@
     host_addresses: Vec<SocketAddr>,
     loads: IndexMap<ServiceName, KeyLoads>,
     fleet_loads: FleetLoads,
-    /// Upstreams with an unusual service time, when the list was computed, and where in
+    /// Upstreams with an unusual slowness, when the list was computed, and where in
     /// it replies start.
     outliers: Vec<(UpstreamId, ObservedLoad)>,
     outliers_updated_at: Moment,
@@ -397,8 +397,7 @@
         targets
     }
 
-    /// Returns the next upstreams whose service time differs clearly from the usual
-    /// one. The others follow in later replies, as small hosts have narrow links.
+    /// Returns the next upstreams whose slowness differs clearly from the usual one. The others follow in later replies, as small hosts have narrow links.
     pub(crate) fn next_outliers(&self) -> Vec<WireLoad> {
         let now = self.clock.now();
         let mut state = self.state.lock();
@@ -418,9 +417,10 @@
             .collect()
     }
 
-    /// Returns an upstream's average service time over all hosts, in milliseconds.
-    pub(crate) fn service_ms(&self, id: &str) -> Option<f64> {
-        self.state.lock().fleet_loads.service_ms(id)
+    /// Returns an upstream's service time relative to that of all upstreams, as all
+    /// hosts measured it.
+    pub(crate) fn slowness(&self, id: &str) -> Option<f64> {
+        self.state.lock().fleet_loads.slowness(id)
     }
 
     /// Applies a host's report, which came from `address`.
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -4,6 +4,7 @@
 use crate::answer::is_hop_by_hop_header;
 use h1::{HeaderList, RequestHead, encode_request_head};
 use kernel::{Cause, Moment, RequestId, ServiceName};
+use place::RequestWork;
 use retry::fingerprint;
 use route::PrefixRoute;
 use std::sync::Arc;
@@ -127,6 +128,14 @@
         ])
     }
 
+    /// Returns the work that the request asks for.
+    pub(crate) fn work(&self) -> RequestWork<'_> {
+        RequestWork {
+            service: &self.service,
+            route: &self.route.rule().name,
+        }
+    }
+
     pub(crate) fn is_idempotent(&self) -> bool {
         self.route.rule().kind.is_idempotent()
     }
--- a/crates/place/src/fleet_loads.rs
+++ b/crates/place/src/fleet_loads.rs
@@ -9,10 +9,10 @@
 use kernel::{Moment, UpstreamId};
 use std::time::Duration;
 
-/// Number of requests after which older ones count half in the service time.
-const SERVICE_HALF_LIFE_REQUESTS: f64 = 12.0;
-/// Relative difference from the mean service time above which hosts are told an
-/// upstream's service time.
+/// Number of requests after which older ones count half in the slowness.
+const SLOWNESS_HALF_LIFE_REQUESTS: f64 = 12.0;
+/// Relative difference from the mean slowness above which hosts are told an upstream's
+/// slowness.
 const OUTLIER_DEVIATION: f64 = 0.15;
 /// Time for which an upstream without reports is kept.
 const RETENTION: Duration = Duration::from_secs(30);
@@ -21,7 +21,7 @@
 struct ServiceState {
     observed_at: Moment,
     requests: u32,
-    service_ms: f64,
+    slowness: f64,
 }
 
 /// Loads of the upstreams, gathered by the leader from all hosts.
@@ -33,7 +33,7 @@
 impl FleetLoads {
     /// Records what one host has observed of an upstream.
     pub fn record(&mut self, now: Moment, id: &UpstreamId, observed: ObservedLoad) {
-        let is_valid = observed.service_ms.is_finite() && observed.service_ms >= 0.0;
+        let is_valid = observed.slowness.is_finite() && observed.slowness >= 0.0;
         if !is_valid || observed.requests == 0 {
             return;
         }
@@ -41,50 +41,48 @@
             let state = ServiceState {
                 observed_at: now,
                 requests: observed.requests,
-                service_ms: observed.service_ms,
+                slowness: observed.slowness,
             };
             self.upstreams.insert(id.clone(), state);
             return;
         };
-        if observed.service_ms > 0.0 {
+        if observed.slowness > 0.0 {
             let weight =
-                1.0 - 0.5_f64.powf(f64::from(observed.requests) / SERVICE_HALF_LIFE_REQUESTS);
-            if state.service_ms <= 0.0 {
-                state.service_ms = observed.service_ms;
+                1.0 - 0.5_f64.powf(f64::from(observed.requests) / SLOWNESS_HALF_LIFE_REQUESTS);
+            if state.slowness <= 0.0 {
+                state.slowness = observed.slowness;
             }
-            state.service_ms += weight * (observed.service_ms - state.service_ms);
+            state.slowness += weight * (observed.slowness - state.slowness);
         }
+        state.requests = observed.requests;
         state.observed_at = now;
     }
 
-    /// Returns the measured service time (time in a slot), in milliseconds.
-    pub fn service_ms(&self, id: &str) -> Option<f64> {
+    /// Returns the measured service time relative to that of all upstreams.
+    pub fn slowness(&self, id: &str) -> Option<f64> {
         let state = self.upstreams.get(id)?;
-        (state.service_ms > 0.0).then_some(state.service_ms)
+        (state.slowness > 0.0).then_some(state.slowness)
     }
 
     /// Returns the upstreams with an observation within the last `max_age` whose
-    /// service time clearly differs from the mean, and removes those without an
+    /// slowness clearly differs from the mean, and removes those without an
     /// observation for long.
     pub fn outliers(&mut self, now: Moment, max_age: Duration) -> Vec<(UpstreamId, ObservedLoad)> {
         self.upstreams
             .retain(|_, state| now - state.observed_at < RETENTION);
-        let measured = self
-            .upstreams
-            .values()
-            .filter(|state| state.service_ms > 0.0);
+        let measured = self.upstreams.values().filter(|state| state.slowness > 0.0);
         let count = measured.clone().count().max(1) as f64;
-        let mean = measured.map(|state| state.service_ms).sum::<f64>() / count;
+        let mean = measured.map(|state| state.slowness).sum::<f64>() / count;
         let is_outlier = |state: &ServiceState| {
             now - state.observed_at < max_age
-                && state.service_ms > 0.0
-                && (state.service_ms / mean - 1.0).abs() > OUTLIER_DEVIATION
+                && state.slowness > 0.0
+                && (state.slowness / mean - 1.0).abs() > OUTLIER_DEVIATION
         };
         let outliers = self.upstreams.iter().filter(|(_, state)| is_outlier(state));
         let loads = outliers.map(|(id, state)| {
             let load = ObservedLoad {
                 requests: state.requests,
-                service_ms: state.service_ms,
+                slowness: state.slowness,
             };
             (id.clone(), load)
         });
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -7,23 +7,32 @@
 //! time.
 //!
 //! ```
-//! use kernel::Moment;
-//! use place::{Selection, SelectionLimits, UpstreamSelector};
+//! use kernel::{Moment, ServiceName};
+//! use place::{RequestWork, Selection, SelectionLimits, UpstreamSelector};
 //! use std::time::Duration;
 //!
 //! let mut selector = UpstreamSelector::new(1);
 //! let now = Moment::from_millis(1_000);
-//! let limits = SelectionLimits { max_wait: Duration::from_millis(400), cross_domain_cost: Duration::ZERO };
+//! let service = ServiceName::from("charts");
+//! let work = RequestWork { service: &service, route: "read" };
+//! let limits = SelectionLimits {
+//!     target_left: Duration::from_millis(400),
+//!     time_left: Duration::from_secs(1),
+//!     cross_domain_cost: Duration::ZERO,
+//! };
 //! let candidates = [place::UpstreamCandidate { id: "i-1".into(), slots: 4, is_local: true, is_cold: false }];
-//! assert!(matches!(selector.choose(now, &candidates, &limits), Selection::Send { .. }));
+//! let selection = selector.choose(now, work, &candidates, &limits);
+//! assert!(matches!(selection, Selection::Send { .. }));
 //! ```
 
 mod fleet_loads;
 mod moves;
 mod selector;
 mod state;
+mod work;
 
 pub use fleet_loads::FleetLoads;
 pub use moves::MoveTracker;
 pub use selector::{Selection, SelectionLimits, SentRequest, UpstreamCandidate, UpstreamSelector};
 pub use state::{LoadReport, ObservedLoad, RequestOutcome};
+pub use work::RequestWork;
--- a/crates/place/src/selector.rs
+++ b/crates/place/src/selector.rs
@@ -1,10 +1,13 @@
 //! Loads of all upstreams, and the selection among them.
 //!
 //! When nearly all slots of a service are in use, requests go to the upstream that is
-//! expected to answer first, and a request that would miss its target at every upstream
-//! is refused at once, so that admitted requests are answered in time.
+//! expected to answer first, and a request that would wait too long for a slot at every
+//! upstream is refused at once, so that admitted requests are answered in time. A
+//! request for which a slot is free is never refused for load: if the estimate is wrong,
+//! its answer corrects it.
 
-use crate::state::{LoadReport, ObservedLoad, RequestOutcome, SentState, UpstreamState};
+use crate::state::{LoadReport, MeanWork, ObservedLoad, RequestOutcome, SentState, UpstreamState};
+use crate::work::{RequestWork, WorkTimes};
 use indexmap::IndexMap;
 use kernel::{Moment, UpstreamId};
 use std::time::Duration;
@@ -12,8 +15,9 @@
 /// Weight of an upstream's slot occupancy in the score, as a fraction of the service
 /// time.
 const OCCUPANCY_WEIGHT: f64 = 0.2;
-/// Minimum time after which a refused client is told to retry.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Fraction of the expected service time below which the time left makes an answer
+/// hopeless; few requests take less than this fraction of the mean.
+const MIN_SERVICE_FRACTION: f64 = 0.2;
 
 /// An upstream that may run a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,8 +35,10 @@
 /// Limits on the selection for one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SelectionLimits {
-    /// Maximum expected time to the answer for which a request is sent.
-    pub max_wait: Duration,
+    /// Time left in which an answer has its full value.
+    pub target_left: Duration,
+    /// Time left until the request is abandoned.
+    pub time_left: Duration,
     /// Cost of sending to another failure domain, as time.
     pub cross_domain_cost: Duration,
 }
@@ -44,7 +50,7 @@
     Send {
         /// The upstream.
         id: UpstreamId,
-        /// Expected time to the answer.
+        /// Expected time to the answer; zero before any answer has been measured.
         expected: Duration,
     },
     /// Refuse the request; a slot may be free after this time.
@@ -60,6 +66,7 @@
 #[derive(Debug)]
 pub struct UpstreamSelector {
     upstreams: IndexMap<UpstreamId, UpstreamState>,
+    work_times: WorkTimes,
     rng: fastrand::Rng,
 }
 
@@ -76,6 +83,7 @@
     pub fn new(seed: u64) -> Self {
         Self {
             upstreams: IndexMap::new(),
+            work_times: WorkTimes::default(),
             rng: fastrand::Rng::with_seed(seed),
         }
     }
@@ -130,83 +138,81 @@
     pub fn choose(
         &mut self,
         now: Moment,
+        work: RequestWork<'_>,
         candidates: &[UpstreamCandidate],
         limits: &SelectionLimits,
     ) -> Selection {
+        let mean_work = self.mean_work(work);
         let mut best: Option<(f64, f64, usize)> = None;
-        let mut is_any_reachable = false;
-        let offset = if candidates.is_empty() {
-            0
-        } else {
-            self.rng.usize(..candidates.len())
-        };
+        let mut shortest_wait_ms: Option<f64> = None;
+        // Of equal candidates, the first one after a random offset is selected.
+        let offset = self.rng.usize(..candidates.len().max(1));
         for step in 0..candidates.len() {
             let index = (offset + step) % candidates.len();
             let candidate = &candidates[index];
-            let state = self.upstreams.entry(candidate.id.clone()).or_default();
+            if !self.upstreams.contains_key(&candidate.id) {
+                let state = UpstreamState::default();
+                self.upstreams.insert(candidate.id.clone(), state);
+            }
+            let Some(state) = self.upstreams.get_mut(&candidate.id) else {
+                continue;
+            };
             if state.is_in_backoff(now) {
                 state.record_wanted();
                 continue;
             }
-            is_any_reachable = true;
-            if state.is_full(now) && candidates.len() > 1 {
+            let estimate = LoadEstimate::new(now, state, candidate, mean_work);
+            let excess_ms = estimate.excess_ms(limits);
+            if excess_ms > 0.0 {
+                let shortest_ms = shortest_wait_ms.unwrap_or(f64::INFINITY);
+                shortest_wait_ms = Some(shortest_ms.min(excess_ms));
                 continue;
             }
-            let service_ms = if candidates.len() == 1 {
-                state.sole_service_ms(now, candidate.is_cold)
-            } else {
-                state.expected_service_ms(candidate.is_cold)
-            };
-            let slots = f64::from(candidate.slots.max(1));
-            let occupancy = state.occupancy(now);
-            let excess_occupancy = (occupancy + 1.0 - slots).max(0.0);
-            let expected_ms = service_ms * (1.0 + excess_occupancy / slots);
             let domain_cost_ms = if candidate.is_local {
                 0.0
             } else {
-                limits.cross_domain_cost.as_secs_f64() * 1_000.0
+                to_ms(limits.cross_domain_cost)
             };
-            // Below full occupancy, prefers the less occupied upstream, which leaves
-            // room for later requests.
-            let occupancy_ratio = occupancy / slots;
-            let score = (expected_ms + OCCUPANCY_WEIGHT * service_ms * occupancy_ratio)
-                * state.avoidance()
-                + domain_cost_ms;
+            let score = estimate.score() * state.avoidance() + domain_cost_ms;
             if best.is_none_or(|(best_score, ..)| score < best_score) {
-                best = Some((score, expected_ms, index));
+                best = Some((score, estimate.answer_ms(), index));
             }
         }
-        let Some((_, expected_ms, index)) = best else {
-            if is_any_reachable {
-                return Selection::Refuse {
-                    retry_after: MIN_RETRY_AFTER * 2,
-                };
-            }
+        if let Some((_, expected_ms, index)) = best {
+            return Selection::Send {
+                id: candidates[index].id.clone(),
+                expected: Duration::from_secs_f64(expected_ms / 1_000.0),
+            };
+        }
+        let Some(wait_ms) = shortest_wait_ms else {
             return Selection::Unreachable;
         };
-        let expected = Duration::from_secs_f64(expected_ms / 1_000.0);
-        if expected > limits.max_wait {
-            let excess = expected
-                .checked_sub(limits.max_wait)
-                .unwrap()
-                .max(MIN_RETRY_AFTER);
-            let spread = excess.mul_f64(0.5 * self.rng.f64());
-            return Selection::Refuse {
-                retry_after: excess + spread,
-            };
+        let spread_ms = wait_ms * 0.5 * self.rng.f64();
+        Selection::Refuse {
+            retry_after: Duration::from_secs_f64((wait_ms + spread_ms) / 1_000.0),
         }
-        Selection::Send {
-            id: candidates[index].id.clone(),
-            expected,
+    }
+
+    fn mean_work(&self, work: RequestWork<'_>) -> MeanWork {
+        MeanWork {
+            unit_ms: self.work_times.service_ms(work.service),
+            route_ms: self.work_times.route_ms(work),
         }
     }
 
     /// Records that a request is sent to an upstream.
-    pub fn record_sent(&mut self, now: Moment, id: &UpstreamId, slots: u32) -> SentRequest {
+    pub fn record_sent(
+        &mut self,
+        now: Moment,
+        work: RequestWork<'_>,
+        id: &UpstreamId,
+        slots: u32,
+    ) -> SentRequest {
+        let unit_ms = self.work_times.service_ms(work.service);
         let state = self.upstreams.entry(id.clone()).or_default();
         let sent = SentState {
             sent_at: now,
-            occupancy: state.occupancy(now),
+            occupancy: state.occupancy(now, unit_ms),
             slots,
         };
         state.record_sent();
@@ -220,12 +226,94 @@
     pub fn record_outcome(
         &mut self,
         now: Moment,
+        work: RequestWork<'_>,
         request: &SentRequest,
         outcome: RequestOutcome,
         report: Option<LoadReport>,
     ) {
-        if let Some(state) = self.upstreams.get_mut(&request.id) {
-            state.record_outcome(now, outcome, request.sent, report);
+        let mean_work = self.mean_work(work);
+        let Some(state) = self.upstreams.get_mut(&request.id) else {
+            return;
+        };
+        let service_ms = state.record_outcome(now, outcome, request.sent, report, mean_work);
+        if let Some(service_ms) = service_ms {
+            self.work_times.record(work, service_ms);
+        }
+    }
+}
+
+/// Expected course of a request at one upstream, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct LoadEstimate {
+    /// Time in a slot.
+    service_ms: f64,
+    /// Wait for a slot.
+    wait_ms: f64,
+    /// Time for which the upstream is assumed to reject requests.
+    full_ms: f64,
+    /// Fraction of the slots that are in use; over 1 with requests waiting.
+    occupancy_ratio: f64,
+}
+
+impl LoadEstimate {
+    fn new(
+        now: Moment,
+        state: &UpstreamState,
+        candidate: &UpstreamCandidate,
+        work: MeanWork,
+    ) -> Self {
+        let slots = f64::from(candidate.slots.max(1));
+        let slowness = state.slowness(now, work.unit_ms, candidate.is_cold);
+        let occupancy = state.occupancy(now, work.unit_ms);
+        let excess_occupancy = (occupancy + 1.0 - slots).max(0.0);
+        // Before anything is measured the times are zero, so that only occupancy counts.
+        let unit_ms = work.unit_ms.unwrap_or_default();
+        Self {
+            service_ms: work.route_ms.unwrap_or_default() * slowness,
+            wait_ms: excess_occupancy / slots * unit_ms * slowness,
+            full_ms: to_ms(state.full_remaining(now)),
+            occupancy_ratio: occupancy / slots,
         }
     }
+
+    /// Returns the expected time to the answer.
+    fn answer_ms(&self) -> f64 {
+        self.wait_ms + self.service_ms
+    }
+
+    /// Returns by how much the expected wait exceeds what the limits allow; 0 if the
+    /// request may be sent.
+    ///
+    /// An answer that would miss the target without any wait is late in any case, so
+    /// that only the deadline limits its wait.
+    fn excess_ms(&self, limits: &SelectionLimits) -> f64 {
+        let time_left_ms = to_ms(limits.time_left);
+        let hopeless_ms = self.service_ms * MIN_SERVICE_FRACTION - time_left_ms;
+        if hopeless_ms > 0.0 {
+            return hopeless_ms;
+        }
+        if self.full_ms > 0.0 {
+            return self.full_ms;
+        }
+        if self.wait_ms <= 0.0 {
+            return 0.0;
+        }
+        let target_left_ms = to_ms(limits.target_left);
+        let max_answer_ms = if self.service_ms <= target_left_ms {
+            target_left_ms.min(time_left_ms)
+        } else {
+            time_left_ms
+        };
+        (self.answer_ms() - max_answer_ms).max(0.0)
+    }
+
+    /// Returns the expected time to the answer, increased by the occupancy: among free
+    /// upstreams the less occupied one leaves more room for later requests.
+    fn score(&self) -> f64 {
+        self.answer_ms() + OCCUPANCY_WEIGHT * self.service_ms.max(1.0) * self.occupancy_ratio
+    }
+}
+
+fn to_ms(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
 }
--- a/crates/place/src/state.rs
+++ b/crates/place/src/state.rs
@@ -3,19 +3,24 @@
 use kernel::Moment;
 use std::time::Duration;
 
-/// Expected service time (time in a slot) before any was measured, in milliseconds; the
-/// kinds of requests in the users' sheets take 100 to 400 ms.
-const INITIAL_SERVICE_MS: f64 = 150.0;
-/// Weight of a new measurement of the service time.
-const SERVICE_WEIGHT: f64 = 0.12;
 /// Weight of a new report of other hosts' requests.
 const REPORT_WEIGHT: f64 = 0.6;
-/// Time after which a report counts half, in milliseconds.
-const REPORT_HALF_LIFE_MS: f64 = 1_500.0;
-/// Age at which the load observed by all hosts is out of date.
+/// Age at which a report of other hosts' requests counts half, in mean service times.
+const REPORT_HALF_LIFE: f64 = 8.0;
+/// Age at which the load observed by all hosts is out of date; the leader repeats it
+/// with every reply.
 const MAX_FLEET_LOAD_AGE: Duration = Duration::from_secs(5);
-/// Weight of this host's own measurements; those of all hosts together have the rest.
-const OWN_WEIGHT: f64 = 0.25;
+/// Maximum number of measurements that an upstream's slowness is averaged over.
+const MAX_SLOWNESS_SAMPLES: f64 = 8.0;
+/// Number of own measurements that the slowness observed by all hosts, or else the
+/// slowness of an average upstream, counts for.
+const PRIOR_SAMPLES: f64 = 2.0;
+/// Age at which own measurements of the slowness count half, in mean service times, so
+/// that an upstream that was slow for a while is tried again.
+const SLOWNESS_HALF_LIFE: f64 = 40.0;
+/// Range to which the slowness of one request is clamped; requests that are unusual
+/// differ by more.
+const SLOWNESS_RANGE: (f64, f64) = (0.1, 20.0);
 /// Weight of a new outcome in the failure rate.
 const FAILURE_WEIGHT: f64 = 0.15;
 /// First backoff after a failed connection; doubles with each further failure.
@@ -26,9 +31,8 @@
 /// Interval between probes of an upstream in backoff that requests would have been sent
 /// to; longer than one probe takes, and short compared with the backoff.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-/// Time for which an upstream that reported no free slot is skipped; about the time in
-/// which one of its slots becomes free.
-const FULL_DURATION: Duration = Duration::from_millis(60);
+/// Maximum number of times that the pause after a rejected request doubles.
+const MAX_FULL_DOUBLINGS: u32 = 4;
 /// Factor by which a cold upstream is assumed to be slower.
 const COLD_FACTOR: f64 = 2.0;
 /// Avoidance of failing upstreams where there is a choice: at a failure rate of 1 the
@@ -51,9 +55,9 @@
 pub struct ObservedLoad {
     /// Requests that ended.
     pub requests: u32,
-    /// Mean service time (time in a slot), in milliseconds; 0 without an answered
-    /// request.
-    pub service_ms: f64,
+    /// Mean service time (time in a slot) relative to the mean of the same routes over
+    /// all upstreams; 0 without an answered request.
+    pub slowness: f64,
 }
 
 /// How a request at an upstream ended.
@@ -81,11 +85,17 @@
     own_requests: u32,
     other_requests: f64,
     reported_at: Moment,
-    service_ms: f64,
+    /// Mean service time relative to that of all upstreams, as this host measured it.
+    slowness: f64,
+    /// Number of measurements that `slowness` counts for at `measured_at`.
+    slowness_samples: f64,
+    measured_at: Moment,
     failure_rate: f64,
     backoff_until: Moment,
     backoff: Duration,
     full_until: Moment,
+    /// Requests rejected for lack of room since the last answer.
+    consecutive_full: u32,
     /// Whether a request would have been sent here if not for the backoff.
     is_wanted: bool,
     next_probe_at: Moment,
@@ -98,7 +108,7 @@
 struct ObservedSums {
     requests: u32,
     answered: u32,
-    service_ms: f64,
+    slowness: f64,
 }
 
 impl Default for UpstreamState {
@@ -107,11 +117,14 @@
             own_requests: 0,
             other_requests: 0.0,
             reported_at: Moment::ZERO,
-            service_ms: INITIAL_SERVICE_MS,
+            slowness: 1.0,
+            slowness_samples: 0.0,
+            measured_at: Moment::ZERO,
             failure_rate: 0.0,
             backoff_until: Moment::ZERO,
             backoff: MIN_BACKOFF,
             full_until: Moment::ZERO,
+            consecutive_full: 0,
             is_wanted: false,
             next_probe_at: Moment::ZERO,
             observed: ObservedSums::default(),
@@ -137,7 +150,7 @@
         }
         Some(ObservedLoad {
             requests: observed.requests,
-            service_ms: observed.service_ms / f64::from(observed.answered.max(1)),
+            slowness: observed.slowness / f64::from(observed.answered.max(1)),
         })
     }
 
@@ -176,38 +189,31 @@
         self.backoff_until = Moment::ZERO;
     }
 
-    pub(crate) fn is_full(&self, now: Moment) -> bool {
-        now < self.full_until
+    /// Returns for how much longer the upstream is assumed to have no room.
+    pub(crate) fn full_remaining(&self, now: Moment) -> Duration {
+        self.full_until - now
     }
 
-    /// Returns the expected number of requests at the upstream now.
-    pub(crate) fn occupancy(&self, now: Moment) -> f64 {
-        let age_ms = (now - self.reported_at).as_secs_f64() * 1_000.0;
-        let decayed_others = self.other_requests * 0.5_f64.powf(age_ms / REPORT_HALF_LIFE_MS);
-        f64::from(self.own_requests) + decayed_others
+    /// Returns the expected number of requests at the upstream now; `unit_ms` is the
+    /// mean service time of the service.
+    pub(crate) fn occupancy(&self, now: Moment, unit_ms: Option<f64>) -> f64 {
+        let age = age_in_units(now, self.reported_at, unit_ms);
+        f64::from(self.own_requests) + self.other_requests * 0.5_f64.powf(age / REPORT_HALF_LIFE)
     }
 
-    /// Returns the expected service time, from this host's measurements.
-    pub(crate) fn expected_service_ms(&self, is_cold: bool) -> f64 {
-        self.service_ms * if is_cold { COLD_FACTOR } else { 1.0 }
+    /// Returns the expected service time relative to that of all upstreams.
+    pub(crate) fn slowness(&self, now: Moment, unit_ms: Option<f64>, is_cold: bool) -> f64 {
+        let observed = self.fleet_load(now).map(|load| load.slowness);
+        let prior = observed.filter(|slowness| *slowness > 0.0).unwrap_or(1.0);
+        let samples = self.current_samples(now, unit_ms);
+        let mean = (self.slowness * samples + prior * PRIOR_SAMPLES) / (samples + PRIOR_SAMPLES);
+        mean * if is_cold { COLD_FACTOR } else { 1.0 }
     }
 
-    /// Returns the expected service time of an upstream that is the only candidate for
-    /// a request.
-    ///
-    /// The load observed by all hosts is used only here: where there is a choice, it
-    /// would lead all hosts to the same upstream.
-    pub(crate) fn sole_service_ms(&self, now: Moment, is_cold: bool) -> f64 {
-        let fleet_load = self
-            .fleet_load(now)
-            .filter(|fleet_load| fleet_load.service_ms > 0.0);
-        let service_ms = match fleet_load {
-            Some(fleet_load) => {
-                fleet_load.service_ms * (1.0 - OWN_WEIGHT) + self.service_ms * OWN_WEIGHT
-            }
-            None => self.service_ms,
-        };
-        service_ms * if is_cold { COLD_FACTOR } else { 1.0 }
+    /// Returns the number of own measurements that the slowness counts for now.
+    fn current_samples(&self, now: Moment, unit_ms: Option<f64>) -> f64 {
+        let age = age_in_units(now, self.measured_at, unit_ms);
+        self.slowness_samples * 0.5_f64.powf(age / SLOWNESS_HALF_LIFE)
     }
 
     /// Returns the factor by which the score of a failing upstream rises; 1 without
@@ -216,40 +222,52 @@
         1.0 + FAILURE_FACTOR * self.failure_rate
     }
 
+    /// Records how a request ended; returns its service time in milliseconds if it was
+    /// answered.
     pub(crate) fn record_outcome(
         &mut self,
         now: Moment,
         outcome: RequestOutcome,
         sent: SentState,
         report: Option<LoadReport>,
-    ) {
+        work: MeanWork,
+    ) -> Option<f64> {
         self.own_requests = self.own_requests.saturating_sub(1);
         self.observed.requests += 1;
         if let Some(report) = report {
             let total = f64::from(report.running + report.waiting);
             let other_requests = (total - f64::from(self.own_requests)).max(0.0);
+            let expected_others = self.occupancy(now, work.unit_ms) - f64::from(self.own_requests);
             self.other_requests =
-                self.other_occupancy(now) * (1.0 - REPORT_WEIGHT) + other_requests * REPORT_WEIGHT;
+                expected_others * (1.0 - REPORT_WEIGHT) + other_requests * REPORT_WEIGHT;
             self.reported_at = now;
         }
         match outcome {
             RequestOutcome::Answered => {
-                self.record_service(now, sent);
                 self.record_result(0.0);
+                self.consecutive_full = 0;
+                return Some(self.record_service(now, sent, report, work));
             }
             RequestOutcome::Failed => self.record_result(1.0),
             RequestOutcome::Lost => self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate),
-            RequestOutcome::Full => self.full_until = now + FULL_DURATION,
+            RequestOutcome::Full => self.record_full(now, sent.slots, work.unit_ms),
             RequestOutcome::Unreachable => {
                 self.backoff_until = now + self.backoff;
                 self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
             }
             RequestOutcome::Misplaced | RequestOutcome::Abandoned => {}
         }
+        None
     }
 
-    fn other_occupancy(&self, now: Moment) -> f64 {
-        self.occupancy(now) - f64::from(self.own_requests)
+    /// Pauses for the mean time in which one slot becomes free, and for twice as long
+    /// after each further rejection.
+    fn record_full(&mut self, now: Moment, slots: u32, unit_ms: Option<f64>) {
+        let doublings = self.consecutive_full.min(MAX_FULL_DOUBLINGS);
+        self.consecutive_full += 1;
+        let slot_ms = unit_ms.unwrap_or_default() / f64::from(slots.max(1));
+        let pause = Duration::from_secs_f64(slot_ms / 1_000.0) * (1 << doublings);
+        self.full_until = now + pause;
     }
 
     fn record_result(&mut self, failure: f64) {
@@ -257,18 +275,49 @@
         self.record_reachable();
     }
 
-    /// Records a service time: the latency reduced by the wait that was expected when
-    /// the request was sent.
-    fn record_service(&mut self, now: Moment, sent: SentState) {
+    /// Records and returns a service time: the latency without the wait for a slot,
+    /// which follows from the requests that were at the upstream.
+    fn record_service(
+        &mut self,
+        now: Moment,
+        sent: SentState,
+        report: Option<LoadReport>,
+        work: MeanWork,
+    ) -> f64 {
         let latency_ms = (now - sent.sent_at).as_secs_f64() * 1_000.0;
-        let occupancy_ratio = ((sent.occupancy + 1.0) / f64::from(sent.slots.max(1))).max(1.0);
-        let sample = (latency_ms / occupancy_ratio).max(1.0);
+        let reported = report.map_or(0.0, |report| f64::from(report.running + report.waiting));
+        let occupancy = sent.occupancy.max(reported);
+        let occupancy_ratio = ((occupancy + 1.0) / f64::from(sent.slots.max(1))).max(1.0);
+        let service_ms = latency_ms / occupancy_ratio;
+        let route_ms = work.route_ms.unwrap_or(service_ms);
+        let (min, max) = SLOWNESS_RANGE;
+        let slowness = (service_ms / route_ms.max(f64::MIN_POSITIVE)).clamp(min, max);
         self.observed.answered += 1;
-        self.observed.service_ms += sample;
-        self.service_ms += SERVICE_WEIGHT * (sample - self.service_ms);
+        self.observed.slowness += slowness;
+        let samples = self.current_samples(now, work.unit_ms) + 1.0;
+        self.slowness_samples = samples.min(MAX_SLOWNESS_SAMPLES);
+        self.slowness += (slowness - self.slowness) / self.slowness_samples;
+        self.measured_at = now;
+        service_ms
     }
 }
 
+/// Returns the time since `at` in units of the mean service time; 0 while that is
+/// unknown.
+fn age_in_units(now: Moment, at: Moment, unit_ms: Option<f64>) -> f64 {
+    let age_ms = (now - at).as_secs_f64() * 1_000.0;
+    unit_ms.map_or(0.0, |unit_ms| age_ms / unit_ms.max(f64::MIN_POSITIVE))
+}
+
+/// Mean service times over all upstreams, in milliseconds, as far as measured.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct MeanWork {
+    /// Mean of the service's requests.
+    pub unit_ms: Option<f64>,
+    /// Mean of the requests of one route.
+    pub route_ms: Option<f64>,
+}
+
 /// State of the upstream when a request was sent.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SentState {
--- a/crates/place/tests/choice.rs
+++ b/crates/place/tests/choice.rs
@@ -1,5 +1,8 @@
 //! Selection of upstreams under the loads that it is designed for.
 
+mod common;
+
+use common::Work;
 use kernel::Moment;
 use place::{
     LoadReport, RequestOutcome, Selection, SelectionLimits, SentRequest, UpstreamCandidate,
@@ -11,7 +14,8 @@
 
 fn limits(max_wait_ms: u64) -> SelectionLimits {
     SelectionLimits {
-        max_wait: Duration::from_millis(max_wait_ms),
+        target_left: Duration::from_millis(max_wait_ms),
+        time_left: Duration::from_millis(max_wait_ms),
         cross_domain_cost: Duration::from_millis(3),
     }
 }
@@ -42,6 +46,7 @@
 /// Simulates `rate` requests a second for 20 s against servers and returns how many
 /// clients were answered within `target_ms`.
 fn simulate(rate: u64, services_ms: &[u64], target_ms: u64, refuses_early: bool) -> Outcome {
+    let work = Work::default();
     let mut selector = UpstreamSelector::new(7);
     let candidates = make_candidates(services_ms.len());
     let mut servers: Vec<Server> = services_ms
@@ -76,6 +81,7 @@
             };
             selector.record_outcome(
                 Moment::from_millis(ends_at),
+                work.get(),
                 &sent,
                 RequestOutcome::Answered,
                 Some(report),
@@ -92,7 +98,8 @@
             60_000
         };
         let now = Moment::from_millis(now_ms);
-        let Selection::Send { id, .. } = selector.choose(now, &candidates, &limits(max_wait_ms))
+        let Selection::Send { id, .. } =
+            selector.choose(now, work.get(), &candidates, &limits(max_wait_ms))
         else {
             outcome.refused += 1;
             continue;
@@ -111,7 +118,7 @@
             ends_at,
             now_ms,
             index,
-            selector.record_sent(now, &id, SLOTS),
+            selector.record_sent(now, work.get(), &id, SLOTS),
         ));
     }
     outcome
@@ -144,37 +151,41 @@
 
 #[test]
 fn choose_unreachable_upstream_is_skipped_and_retried_later() {
+    let work = Work::default();
     let mut selector = UpstreamSelector::new(1);
     let candidates = make_candidates(2);
     let now = Moment::from_millis(1_000);
-    let sent = selector.record_sent(now, &candidates[0].id, SLOTS);
-    selector.record_outcome(now, &sent, RequestOutcome::Unreachable, None);
+    let sent = selector.record_sent(now, work.get(), &candidates[0].id, SLOTS);
+    selector.record_outcome(now, work.get(), &sent, RequestOutcome::Unreachable, None);
     for _ in 0..20 {
-        let selection = selector.choose(now, &candidates, &limits(400));
+        let selection = selector.choose(now, work.get(), &candidates, &limits(400));
         assert!(matches!(selection, Selection::Send { id, .. } if id == candidates[1].id));
     }
     assert_eq!(
-        selector.choose(now, &candidates[..1], &limits(400)),
+        selector.choose(now, work.get(), &candidates[..1], &limits(400)),
         Selection::Unreachable
     );
     let later = Moment::from_millis(1_300);
     assert!(matches!(
-        selector.choose(later, &candidates[..1], &limits(400)),
+        selector.choose(later, work.get(), &candidates[..1], &limits(400)),
         Selection::Send { .. }
     ));
 }
 
 #[test]
 fn choose_failing_upstream_gets_few_requests() {
+    let work = Work::default();
     let mut selector = UpstreamSelector::new(3);
     let candidates = make_candidates(2);
     let mut failing_count = 0;
     for step in 0..400 {
         let now = Moment::from_millis(1_000 + step * 20);
-        let Selection::Send { id, .. } = selector.choose(now, &candidates, &limits(4_000)) else {
+        let Selection::Send { id, .. } =
+            selector.choose(now, work.get(), &candidates, &limits(4_000))
+        else {
             panic!("no upstream was selected");
         };
-        let sent = selector.record_sent(now, &id, SLOTS);
+        let sent = selector.record_sent(now, work.get(), &id, SLOTS);
         let is_failing = id == candidates[0].id;
         failing_count += u32::from(is_failing);
         let outcome = if is_failing {
@@ -182,33 +193,43 @@
         } else {
             RequestOutcome::Answered
         };
-        selector.record_outcome(now + Duration::from_millis(100), &sent, outcome, None);
+        selector.record_outcome(
+            now + Duration::from_millis(100),
+            work.get(),
+            &sent,
+            outcome,
+            None,
+        );
     }
     assert!(failing_count < 60, "{failing_count}");
 }
 
 #[test]
 fn choose_download_stays_in_its_domain_while_slots_are_free() {
+    let work = Work::default();
     let mut selector = UpstreamSelector::new(5);
     let mut candidates = make_candidates(2);
     candidates[1].is_local = false;
     let download = SelectionLimits {
-        max_wait: Duration::from_secs(2),
+        target_left: Duration::from_secs(2),
+        time_left: Duration::from_secs(2),
         cross_domain_cost: Duration::from_millis(150),
     };
     let now = Moment::from_millis(1_000);
     for _ in 0..4 {
-        let Selection::Send { id, .. } = selector.choose(now, &candidates, &download) else {
+        let Selection::Send { id, .. } = selector.choose(now, work.get(), &candidates, &download)
+        else {
             panic!("no upstream was selected");
         };
         assert_eq!(id, candidates[0].id);
-        selector.record_sent(now, &id, SLOTS);
+        selector.record_sent(now, work.get(), &id, SLOTS);
     }
 }
 
 /// Simulates a partition of 5 s between the host and the only upstream that may run
 /// requests, and returns how long after its end the first request is sent.
 fn recovery_time(is_probed: bool) -> Duration {
+    let work = Work::default();
     let mut selector = UpstreamSelector::new(3);
     let sole_candidate = make_candidates(1);
     let healed_ms = 5_000;
@@ -221,14 +242,16 @@
         if probed_at.take_if(|at| *at + 50 <= now_ms).is_some() && now_ms > healed_ms {
             selector.record_reachable(&sole_candidate[0].id);
         }
-        let Selection::Send { id, .. } = selector.choose(now, &sole_candidate, &limits(400)) else {
+        let Selection::Send { id, .. } =
+            selector.choose(now, work.get(), &sole_candidate, &limits(400))
+        else {
             continue;
         };
         if now_ms >= healed_ms {
             return Duration::from_millis(now_ms - healed_ms);
         }
-        let sent = selector.record_sent(now, &id, SLOTS);
-        selector.record_outcome(now, &sent, RequestOutcome::Unreachable, None);
+        let sent = selector.record_sent(now, work.get(), &id, SLOTS);
+        selector.record_outcome(now, work.get(), &sent, RequestOutcome::Unreachable, None);
     }
     Duration::MAX
 }
@@ -241,10 +264,11 @@
 
 #[test]
 fn drain_probes_skips_upstreams_without_requests() {
+    let work = Work::default();
     let mut selector = UpstreamSelector::new(3);
     let now = Moment::from_millis(1_000);
     let sole_candidate = make_candidates(1);
-    let sent = selector.record_sent(now, &sole_candidate[0].id, SLOTS);
-    selector.record_outcome(now, &sent, RequestOutcome::Unreachable, None);
+    let sent = selector.record_sent(now, work.get(), &sole_candidate[0].id, SLOTS);
+    selector.record_outcome(now, work.get(), &sent, RequestOutcome::Unreachable, None);
     assert!(selector.drain_probes(now, 4).is_empty());
 }
