--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -95,6 +95,8 @@
     pub observed_loads: Vec<WireLoad>,
     /// Whether the store has answered the host recently.
     pub reaches_store: bool,
+    /// Version of the host's sheet; 0 while it has none.
+    pub sheet_version: u64,
     /// The versions that the host knows.
     pub known: KnownVersions,
 }
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -42,7 +42,7 @@
 const LEADER_ENTRIES_TIMEOUT: Duration = Duration::from_millis(1_100);
 /// Feed wait for the entries while the leader is silent.
 const NO_LEADER_FEED_WAIT: Duration = Duration::from_secs(2);
-/// Time for which the leader may have a newer sheet before this host fetches the table
+/// Time for which another host may have a newer sheet before this host fetches the table
 /// again. A working feed delivers it within the batch interval.
 const MAX_SHEET_LAG: Duration = Duration::from_secs(1);
 /// Number of previous owner maps that are kept; hosts that lag further behind receive
@@ -87,7 +87,7 @@
     /// Version up to which the entries are known.
     entries_version: u64,
     has_entries: bool,
-    /// Since when the leader has had a newer sheet than this host.
+    /// Since when the leader, or a host that reports to it, has had a newer sheet.
     sheet_behind_since: Option<Moment>,
 }
 
@@ -200,14 +200,16 @@
         view.sheet.as_ref().map_or(0, |sheet| sheet.version)
     }
 
-    /// Records the version of the leader's sheet. If this host lags behind for too
+    /// Records the version of another host's sheet. If this host lags behind for too
     /// long, its own feed has fallen silent and the sheet is fetched again.
-    pub(crate) fn record_leader_sheet(&self, version: u64) {
+    ///
+    /// Hosts hear of the leader's version, and the leader of all others': its own feed
+    /// may be the silent one.
+    pub(crate) fn record_peer_sheet(&self, version: u64) {
         let now = self.clock.now();
         let known_version = self.sheet_version();
         let mut state = self.state.lock();
         if known_version == 0 || version <= known_version {
-            state.sheet_behind_since = None;
             return;
         }
         let since = *state.sheet_behind_since.get_or_insert(now);
@@ -275,7 +277,7 @@
     }
 
     fn publish_sheet(&self, sheet: RouteSheet) {
-        let state = self.state.lock();
+        let mut state = self.state.lock();
         let view = self.view.load();
         let previous_version = view.routes.version();
         if sheet.version <= previous_version && view.sheet.is_some() {
@@ -287,6 +289,7 @@
             sheet.version, sheet.hosts.len(), sheet.services.len(),
         );
         self.metrics.sheet_version.set(sheet.version.cast_signed());
+        state.sheet_behind_since = None;
         let routes = Arc::new(PrefixTable::compile(&sheet, &view.routes));
         self.publish(&state, |view| {
             view.routes = routes;
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -222,6 +222,7 @@
                 .map(|(id, load)| WireLoad::from((id, *load)))
                 .collect(),
             reaches_store: self.peers.reaches_store(),
+            sheet_version: self.replica.sheet_version(),
             known: KnownVersions {
                 owners: self.replica.owner_versions(),
                 entries: self.replica.entries_version(),
@@ -273,6 +274,7 @@
                 Ok(PeerMessage::Report(report)) => {
                     let loads = self.resolve_loads(&report.observed_loads);
                     self.peers.apply_report(&report, &loads, peer);
+                    self.replica.record_peer_sheet(report.sheet_version);
                     self.apply_suspects(&report.suspects);
                     // A host that does not lead sends no reply, so that the sender
                     // looks for the leader in the store.
@@ -290,7 +292,7 @@
                     if !self.peers.apply_reply(&reply, peer, &self.host) {
                         continue;
                     }
-                    self.replica.record_leader_sheet(reply.sheet_version);
+                    self.replica.record_peer_sheet(reply.sheet_version);
                     self.apply_suspects(&reply.suspects);
                     self.dispatcher
                         .state
