--- a/crates/front/src/grant_client.rs
+++ b/crates/front/src/grant_client.rs
@@ -82,7 +82,8 @@
         };
         // Connecting took time; a grant must not be sent after the lease has ended.
         if !is_valid() || self.clock.now() > call.send_deadline {
-            return CallReply::Unreachable;
+            self.pool.put(self.clock.now(), id, connection, None);
+            return CallReply::Unsent;
         }
         let names = self.platform.headers();
         let mut headers = HeaderList::new();
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -401,7 +401,7 @@
         let now = self.clock.now();
         let mut state = self.state.lock();
         if now - state.loads_updated_at >= LOADS_REFRESH_INTERVAL {
-            let recent = state.fleet_loads.recent(now, LOADS_REFRESH_INTERVAL * 4);
+            let recent = state.fleet_loads.update(now, LOADS_REFRESH_INTERVAL * 4);
             let loads = recent.iter().map(|(id, load)| WireLoad::from((id, *load)));
             state.recent_loads = loads.collect();
             state.loads_updated_at = now;
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -8,16 +8,15 @@
 use crate::dispatch::Dispatcher;
 use crate::message::{
     HostReport, KnownVersions, LeaderReply, MAX_DATAGRAM_BYTES, PeerMessage, Suspect, WireEntry,
-    WireLoad, WirePreviousTerm,
+    WireLoad, WireObservation, WirePreviousTerm,
 };
 use crate::peers::PeerRegistry;
 use crate::replica::StoreReplica;
 use async_std::net::UdpSocket;
 use fleet::EntryChange;
 use grant::PreviousTerm;
-use kernel::UpstreamId;
 use log::{debug, warn};
-use place::ObservedLoad;
+use place::{FleetLoad, ObservedLoad};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -67,8 +66,7 @@
                 continue;
             };
             if self.socket.local_addr().ok() == Some(leader) {
-                let loads = self.resolve_loads(&report.observed_loads);
-                self.peers.apply_report(&report, &loads, leader);
+                self.apply_report(&report, leader);
                 self.set_fleet_loads(&self.peers.next_fleet_loads());
                 continue;
             }
@@ -178,27 +176,30 @@
     }
 
     fn set_fleet_loads(&self, fleet_loads: &[WireLoad]) {
-        let loads = self.resolve_loads(fleet_loads);
         let state = &self.dispatcher.state;
+        let view = state.view.load();
         let now = state.clock.now();
         let mut selector = state.selector.lock();
-        for (id, load) in &loads {
-            selector.set_fleet_load(now, id, *load);
+        for load in fleet_loads {
+            // Upstreams that this host does not know are left out.
+            let Some(id) = view.upstream_hashes.get(&load.upstream) else {
+                continue;
+            };
+            selector.set_fleet_load(now, id, FleetLoad::from(*load));
         }
     }
 
-    /// Finds the upstreams that loads refer to; those that this host does not know are
-    /// left out.
-    fn resolve_loads(&self, loads: &[WireLoad]) -> Vec<(UpstreamId, ObservedLoad)> {
+    /// Applies another host's report, or this one's while it leads.
+    fn apply_report(&self, report: &HostReport, from: SocketAddr) {
         let view = self.dispatcher.state.view.load();
-        let mut resolved = Vec::with_capacity(loads.len());
-        for load in loads {
+        let mut observed = Vec::with_capacity(report.observed_loads.len());
+        for load in &report.observed_loads {
             let Some(id) = view.upstream_hashes.get(&load.upstream) else {
                 continue;
             };
-            resolved.push((id.clone(), ObservedLoad::from(*load)));
+            observed.push((id.clone(), ObservedLoad::from(*load)));
         }
-        resolved
+        self.peers.apply_report(report, &observed, from);
     }
 
     fn report(&self) -> HostReport {
@@ -219,7 +220,7 @@
             suspects: self.suspects(),
             observed_loads: observed_loads
                 .iter()
-                .map(|(id, load)| WireLoad::from((id, *load)))
+                .map(|(id, load)| WireObservation::from((id, *load)))
                 .collect(),
             reaches_store: self.peers.reaches_store(),
             sheet_version: self.replica.sheet_version(),
@@ -272,8 +273,7 @@
             };
             match PeerMessage::decode(&buffer[..length]) {
                 Ok(PeerMessage::Report(report)) => {
-                    let loads = self.resolve_loads(&report.observed_loads);
-                    self.peers.apply_report(&report, &loads, peer);
+                    self.apply_report(&report, peer);
                     self.replica.record_peer_sheet(report.sheet_version);
                     self.apply_suspects(&report.suspects);
                     // A host that does not lead sends no reply, so that the sender
--- a/crates/place/src/fleet_loads.rs
+++ b/crates/place/src/fleet_loads.rs
@@ -3,8 +3,13 @@
 //! In a large deployment a host sends an upstream a request only every few seconds, too
 //! few to know the upstream's speed or how busy it is. The leader therefore gathers the
 //! observations of all hosts and sends them the result.
+//!
+//! The holder of a popular key can be asked for many times what it can answer, and no
+//! other upstream can help. Together the hosts would keep its queue full, so that nearly
+//! all of its answers would be late. The leader therefore works out which share of the
+//! requests the upstream has room for, and each host refuses the rest at once.
 
-use crate::state::ObservedLoad;
+use crate::state::{FleetLoad, ObservedLoad};
 use indexmap::IndexMap;
 use kernel::{Moment, UpstreamId};
 use std::time::Duration;
@@ -15,28 +20,52 @@
 const OCCUPANCY_WEIGHT: f64 = 0.3;
 /// Time for which an upstream without reports is kept.
 const RETENTION: Duration = Duration::from_secs(30);
+/// Occupancy above which an upstream has no unused slot, as a fraction of its slots, so
+/// that the rate of its answers is what it can do.
+const SATURATED_RATIO: f64 = 1.0;
+/// Occupancy above which the wait for a slot takes longer than the work itself.
+const OVERLOADED_RATIO: f64 = 2.0;
+/// Factor by which the capacity is taken to be lower while the queue is too long, so
+/// that it becomes shorter.
+const OVERLOADED_FACTOR: f64 = 0.8;
+/// Factor by which the capacity is taken to be higher than the rate of the answers, so
+/// that no slot is unused; the hosts' own estimates refuse what is too much.
+const SATURATED_FACTOR: f64 = 1.2;
+/// Factor by which the capacity is taken to be higher while slots are unused although
+/// requests are refused.
+const UNUSED_FACTOR: f64 = 1.25;
 
 #[derive(Clone, Copy, Debug)]
-struct FleetLoad {
+struct UpstreamLoad {
     observed_at: Moment,
-    load: ObservedLoad,
+    load: FleetLoad,
+    /// Sums since the share was last worked out.
+    wanted: u32,
+    answered: u32,
+    occupancy_sum: f64,
+    occupancy_count: u32,
+    /// Requests a second that the upstream can answer, if it has been saturated.
+    capacity: Option<f64>,
 }
 
 /// Loads of the upstreams, gathered by the leader from all hosts.
 #[derive(Clone, Debug, Default)]
 pub struct FleetLoads {
-    upstreams: IndexMap<UpstreamId, FleetLoad>,
+    upstreams: IndexMap<UpstreamId, UpstreamLoad>,
+    updated_at: Moment,
 }
 
 impl FleetLoads {
     /// Records what one host has observed of an upstream.
     pub fn record(&mut self, now: Moment, id: &UpstreamId, observed: ObservedLoad) {
-        if observed.requests == 0 {
-            return;
-        }
-        let first = FleetLoad {
+        let first = UpstreamLoad {
             observed_at: now,
-            load: observed,
+            load: FleetLoad::default(),
+            wanted: 0,
+            answered: 0,
+            occupancy_sum: 0.0,
+            occupancy_count: 0,
+            capacity: None,
         };
         let state = match self.upstreams.get_mut(id) {
             Some(state) => state,
@@ -45,13 +74,18 @@
         let requests = f64::from(observed.requests);
         let slowness_weight = 1.0 - 0.5_f64.powf(requests / SLOWNESS_HALF_LIFE_REQUESTS);
         let load = &mut state.load;
-        load.requests = observed.requests;
         load.slowness = average(load.slowness, observed.slowness, slowness_weight);
         load.occupancy_ratio = average(
             load.occupancy_ratio,
             observed.occupancy_ratio,
             OCCUPANCY_WEIGHT,
         );
+        state.wanted += observed.requests + observed.refused;
+        state.answered += observed.answered;
+        if let Some(ratio) = observed.occupancy_ratio {
+            state.occupancy_sum += ratio;
+            state.occupancy_count += 1;
+        }
         state.observed_at = now;
     }
 
@@ -60,13 +94,16 @@
         self.upstreams.get(id)?.load.slowness
     }
 
-    /// Returns the loads of the upstreams with an observation within the last
-    /// `max_age`, and removes those without one for long.
-    pub fn recent(&mut self, now: Moment, max_age: Duration) -> Vec<(UpstreamId, ObservedLoad)> {
+    /// Works out the shares from the reports since the last call, and returns the loads
+    /// of the upstreams with an observation within the last `max_age`.
+    pub fn update(&mut self, now: Moment, max_age: Duration) -> Vec<(UpstreamId, FleetLoad)> {
+        let elapsed = now - self.updated_at;
+        self.updated_at = now;
         self.upstreams
             .retain(|_, state| now - state.observed_at < RETENTION);
         let mut recent = Vec::with_capacity(self.upstreams.len());
-        for (id, state) in &self.upstreams {
+        for (id, state) in &mut self.upstreams {
+            state.update_share(elapsed);
             if now - state.observed_at < max_age {
                 recent.push((id.clone(), state.load));
             }
@@ -75,6 +112,39 @@
     }
 }
 
+impl UpstreamLoad {
+    /// Works out the share of the requests that the upstream has room for: its capacity,
+    /// which is the rate of its answers while all its slots are in use, divided by the
+    /// rate of the requests.
+    fn update_share(&mut self, elapsed: Duration) {
+        let seconds = elapsed.as_secs_f64().max(f64::MIN_POSITIVE);
+        let wanted_rate = f64::from(std::mem::take(&mut self.wanted)) / seconds;
+        let answered_rate = f64::from(std::mem::take(&mut self.answered)) / seconds;
+        let occupancy_count = std::mem::take(&mut self.occupancy_count);
+        let occupancy_sum = std::mem::take(&mut self.occupancy_sum);
+        let occupancy_ratio = occupancy_sum / f64::from(occupancy_count.max(1));
+        let is_saturated = occupancy_ratio >= SATURATED_RATIO;
+        self.capacity = match self.capacity {
+            None if !is_saturated => None,
+            None => Some(answered_rate),
+            Some(capacity) if occupancy_ratio > OVERLOADED_RATIO => {
+                Some(capacity.midpoint(answered_rate) * OVERLOADED_FACTOR)
+            }
+            Some(capacity) if is_saturated => {
+                Some(capacity.midpoint(answered_rate) * SATURATED_FACTOR)
+            }
+            Some(capacity) => Some(capacity.max(answered_rate) * UNUSED_FACTOR),
+        };
+        // At least one request passes in each interval, or nothing would be measured.
+        let capacity = self.capacity.map(|capacity| capacity.max(1.0 / seconds));
+        let share = capacity.map(|capacity| capacity / wanted_rate.max(f64::MIN_POSITIVE));
+        self.load.admitted_share = share.filter(|share| *share < 1.0);
+        if self.load.admitted_share.is_none() && !is_saturated {
+            self.capacity = None;
+        }
+    }
+}
+
 /// Returns the weighted average of an old and a new value, as far as there are any.
 fn average(old: Option<f64>, new: Option<f64>, new_weight: f64) -> Option<f64> {
     match (old, new) {
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -34,5 +34,5 @@
 pub use fleet_loads::FleetLoads;
 pub use moves::MoveTracker;
 pub use selector::{Selection, SelectionLimits, SentRequest, UpstreamCandidate, UpstreamSelector};
-pub use state::{LoadReport, ObservedLoad, RequestOutcome};
+pub use state::{FleetLoad, LoadReport, ObservedLoad, RequestOutcome};
 pub use work::RequestWork;
--- a/crates/place/src/selector.rs
+++ b/crates/place/src/selector.rs
@@ -6,7 +6,9 @@
 //! request for which a slot is free is never refused for load: if the estimate is wrong,
 //! its answer corrects it.
 
-use crate::state::{LoadReport, MeanWork, ObservedLoad, RequestOutcome, SentState, UpstreamState};
+use crate::state::{
+    FleetLoad, LoadReport, MeanWork, ObservedLoad, RequestOutcome, SentState, UpstreamState,
+};
 use crate::work::{RequestWork, WorkTimes};
 use indexmap::IndexMap;
 use kernel::{Moment, UpstreamId};
@@ -133,7 +135,7 @@
     }
 
     /// Sets the load of an upstream as observed by all hosts together.
-    pub fn set_fleet_load(&mut self, now: Moment, id: &UpstreamId, fleet_load: ObservedLoad) {
+    pub fn set_fleet_load(&mut self, now: Moment, id: &UpstreamId, fleet_load: FleetLoad) {
         self.upstreams
             .entry(id.clone())
             .or_default()
@@ -149,9 +151,12 @@
         limits: &SelectionLimits,
     ) -> Selection {
         let mut mean_work = self.mean_work(now, work);
-        if candidates.len() == 1 {
+        if let [sole] = candidates {
             // Other upstreams tell nothing about the one that holds a key.
             mean_work.occupancy_ratio = 0.0;
+            if let Some(retry_after) = self.refuse_share(now, sole, limits) {
+                return Selection::Refuse { retry_after };
+            }
         }
         let mut ranking = Ranking::default();
         let mut unsampled = Vec::new();
@@ -173,12 +178,36 @@
         let Some(excess_ms) = ranking.least_excess_ms else {
             return Selection::Unreachable;
         };
+        if let [sole] = candidates
+            && let Some(state) = self.upstreams.get_mut(&sole.id)
+        {
+            state.record_refused();
+        }
         let spread_ms = excess_ms * 0.5 * self.rng.f64();
         Selection::Refuse {
             retry_after: Duration::from_secs_f64((excess_ms + spread_ms) / 1_000.0),
         }
     }
 
+    /// Refuses the requests for which the only upstream that could run them has no room,
+    /// as all hosts together found; returns when to retry.
+    fn refuse_share(
+        &mut self,
+        now: Moment,
+        sole: &UpstreamCandidate,
+        limits: &SelectionLimits,
+    ) -> Option<Duration> {
+        let state = self.upstreams.get_mut(&sole.id)?;
+        let share = state.admitted_share(now);
+        if self.rng.f64() < share {
+            return None;
+        }
+        state.record_refused();
+        // The less of the requests has room, the later a client should return: an early
+        // return would be refused again.
+        Some(limits.time_left.mul_f64(1.0 - share))
+    }
+
     /// Returns the indexes of the candidates to compare: those that reported their load
     /// recently, and a random sample of the others, in which each is as likely as it is
     /// fast. The remaining ones are added to `unsampled`.
--- a/crates/place/src/state.rs
+++ b/crates/place/src/state.rs
@@ -9,7 +9,10 @@
 /// Age at which a report of other hosts' requests counts half, in mean service times; a
 /// request that was running then has about ended.
 const REPORT_HALF_LIFE: f64 = 1.5;
-/// Age at which the load observed by all hosts is out of date; the leader repeats it
+/// Age at which the occupancy observed by all hosts counts half, in mean service times;
+/// longer than that of one report, as it is an average over time.
+const FLEET_HALF_LIFE: f64 = 4.0;
+/// Age at which the slowness observed by all hosts is out of date; the leader repeats it
 /// with every reply.
 const MAX_FLEET_LOAD_AGE: Duration = Duration::from_secs(5);
 /// Maximum number of measurements that an upstream's slowness is averaged over.
@@ -55,8 +58,13 @@
 /// Load of an upstream that one host has observed since its last report.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ObservedLoad {
-    /// Requests that ended.
+    /// Requests that ended at the upstream.
     pub requests: u32,
+    /// Requests that it answered.
+    pub answered: u32,
+    /// Requests that the host refused because the upstream, which alone could run them,
+    /// had no room.
+    pub refused: u32,
     /// Mean service time (time in a slot) relative to the mean of the same routes over
     /// all upstreams, if one was measured.
     pub slowness: Option<f64>,
@@ -64,6 +72,18 @@
     pub occupancy_ratio: Option<f64>,
 }
 
+/// Load of an upstream as all hosts together observed it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct FleetLoad {
+    /// Mean service time relative to the mean of the same routes over all upstreams.
+    pub slowness: Option<f64>,
+    /// Mean of the reported occupancies, as a fraction of the slots.
+    pub occupancy_ratio: Option<f64>,
+    /// Fraction of the requests for which the upstream is the only one that it has room
+    /// for; `None` if it has room for all.
+    pub admitted_share: Option<f64>,
+}
+
 /// How a request at an upstream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestOutcome {
@@ -104,13 +124,15 @@
     is_wanted: bool,
     next_probe_at: Moment,
     observed: ObservedSums,
-    fleet_load: Option<(Moment, ObservedLoad)>,
+    fleet_load: Option<(Moment, FleetLoad)>,
 }
 
 /// Sums of observations since the last report.
 #[derive(Clone, Copy, Debug, Default)]
 struct ObservedSums {
     requests: u32,
+    answered: u32,
+    refused: u32,
     measured: u32,
     slowness: f64,
     reports: u32,
@@ -151,26 +173,39 @@
     /// Returns what was observed since the last call; `None` without observations.
     pub(crate) fn drain_observations(&mut self) -> Option<ObservedLoad> {
         let observed = std::mem::take(&mut self.observed);
-        if observed.requests == 0 {
+        if observed.requests == 0 && observed.refused == 0 {
             return None;
         }
         Some(ObservedLoad {
             requests: observed.requests,
+            answered: observed.answered,
+            refused: observed.refused,
             slowness: mean(observed.slowness, observed.measured),
             occupancy_ratio: mean(observed.occupancy_ratio, observed.reports),
         })
     }
 
     /// Sets the load observed by all hosts together.
-    pub(crate) fn set_fleet_load(&mut self, now: Moment, fleet_load: ObservedLoad) {
+    pub(crate) fn set_fleet_load(&mut self, now: Moment, fleet_load: FleetLoad) {
         self.fleet_load = Some((now, fleet_load));
     }
 
-    fn fleet_load(&self, now: Moment) -> Option<ObservedLoad> {
+    fn fleet_load(&self, now: Moment) -> Option<FleetLoad> {
         let (at, fleet_load) = self.fleet_load?;
         (now - at < MAX_FLEET_LOAD_AGE).then_some(fleet_load)
     }
 
+    /// Returns the fraction of the requests for this upstream alone that may be sent.
+    pub(crate) fn admitted_share(&self, now: Moment) -> f64 {
+        let share = self.fleet_load(now).and_then(|load| load.admitted_share);
+        share.unwrap_or(1.0)
+    }
+
+    /// Records that a request was refused because this upstream alone could run it.
+    pub(crate) fn record_refused(&mut self) {
+        self.observed.refused += 1;
+    }
+
     pub(crate) fn is_in_backoff(&self, now: Moment) -> bool {
         now < self.backoff_until
     }
@@ -207,12 +242,24 @@
     pub(crate) fn occupancy(&self, now: Moment, work: MeanWork, slots: u32) -> f64 {
         let age = age_in_units(now, self.reported_at, work.unit_ms);
         let weight = 0.5_f64.powf(age / REPORT_HALF_LIFE);
-        let observed = self.fleet_load(now).and_then(|load| load.occupancy_ratio);
-        let usual_ratio = observed.unwrap_or(work.occupancy_ratio);
-        let usual = usual_ratio * f64::from(slots);
+        let usual = self.usual_occupancy_ratio(now, work) * f64::from(slots);
         f64::from(self.own_requests) + usual + (self.other_requests - usual) * weight
     }
 
+    /// Returns the usual number of requests at the upstream, as a fraction of its slots:
+    /// what all hosts observed there, or as that ages, the mean of all upstreams.
+    fn usual_occupancy_ratio(&self, now: Moment, work: MeanWork) -> f64 {
+        let mean = work.occupancy_ratio;
+        let Some((observed_at, fleet_load)) = self.fleet_load else {
+            return mean;
+        };
+        let Some(observed) = fleet_load.occupancy_ratio else {
+            return mean;
+        };
+        let age = age_in_units(now, observed_at, work.unit_ms);
+        mean + (observed - mean) * 0.5_f64.powf(age / FLEET_HALF_LIFE)
+    }
+
     /// Returns whether the occupancy was reported so recently that it says more than
     /// the usual one.
     pub(crate) fn is_report_fresh(&self, now: Moment, work: MeanWork) -> bool {
@@ -266,6 +313,7 @@
         }
         match outcome {
             RequestOutcome::Answered => {
+                self.observed.answered += 1;
                 self.record_result(0.0);
                 self.consecutive_full = 0;
                 return self.record_service(now, sent, report, work);
--- a/crates/place/tests/fleet/mod.rs
+++ b/crates/place/tests/fleet/mod.rs
@@ -286,7 +286,7 @@
                 self.loads.record(now, &id, observed);
             }
         }
-        let recent = self.loads.recent(now, Duration::from_secs(3));
+        let recent = self.loads.update(now, Duration::from_secs(3));
         for host in &mut self.hosts {
             for (id, load) in &recent {
                 host.set_fleet_load(now, id, *load);
--- a/crates/place/tests/fleet_choice.rs
+++ b/crates/place/tests/fleet_choice.rs
@@ -119,3 +119,53 @@
         }
     }
 }
+
+/// The holder of a popular key is asked for a multiple of what it can answer, and no
+/// other upstream can help: most of what it can do goes into answers in time.
+#[rstest]
+#[case::small(small(), 120.0, 400.0)]
+#[case::large(large(), 430.0, 2_000.0)]
+#[case::two_slots(two_slots(), 140.0, 500.0)]
+fn choose_sole_holder_of_popular_key_answers_in_time(
+    #[case] shape: Shape,
+    #[case] work_ms: f64,
+    #[case] target_ms: f64,
+    #[values(1.2, 3.0, 10.0, 40.0)] load: f64,
+) {
+    let shape = Shape {
+        upstreams: 1,
+        speeds: vec![1.0],
+        work_ms,
+        spread: 0.5,
+        target_ms,
+        load,
+        ..shape
+    };
+    let outcome = play(&shape, Policy::Selector, 3);
+    let in_time = outcome.in_time * load;
+    let late = outcome.late * load;
+    assert!(
+        in_time > 0.5 && late < in_time / 2.0,
+        "{in_time} {late} {outcome:?}"
+    );
+    assert!(outcome.rejected < 0.05, "{outcome:?}");
+}
+
+/// As long as the holder has room, no request for its keys is refused.
+#[rstest]
+#[case::small(small())]
+#[case::large(large())]
+fn choose_sole_holder_with_room_refuses_nobody(#[case] shape: Shape) {
+    let shape = Shape {
+        upstreams: 1,
+        speeds: vec![1.0],
+        spread: 0.5,
+        load: 0.6,
+        ..shape
+    };
+    let outcome = play(&shape, Policy::Selector, 3);
+    assert!(
+        outcome.refused < 0.01 && outcome.rejected < 0.01,
+        "{outcome:?}"
+    );
+}
