Refuse at once what the holder of popular keys has no room for

From them the leader works out the capacity of saturated upstreams (the rate of their answers) and tells all hosts the share of the requests that fits, where it is below 0.8; the hosts' own estimates refuse the rest. Reports of other hosts' requests age with the measured service time. A second sampled upstream is taken only if clearly better, so that slow and failing ones are avoided.

--- a/crates/place/src/fleet_loads.rs
+++ b/crates/place/src/fleet_loads.rs
@@ -23,18 +23,24 @@
 /// Occupancy above which an upstream has no unused slot, as a fraction of its slots, so
 /// that the rate of its answers is what it can do.
 const SATURATED_RATIO: f64 = 1.0;
-/// Occupancy above which the wait for a slot takes longer than the work itself.
-const OVERLOADED_RATIO: f64 = 2.0;
+/// Occupancy above which the wait for a slot takes twice as long as the work itself.
+const OVERLOADED_RATIO: f64 = 3.0;
 /// Factor by which the capacity is taken to be lower while the queue is too long, so
 /// that it becomes shorter.
 const OVERLOADED_FACTOR: f64 = 0.8;
-/// Factor by which the capacity is taken to be higher than the rate of the answers, so
-/// that no slot is unused; the hosts' own estimates refuse what is too much.
+/// Factor by which the capacity is taken to be higher than the rate of the answers while
+/// the queue is short, as some slots may have been unused.
 const SATURATED_FACTOR: f64 = 1.2;
 /// Factor by which the capacity is taken to be higher while slots are unused although
 /// requests are refused.
 const UNUSED_FACTOR: f64 = 1.25;
 
+/// Share above which the hosts' own estimates suffice.
+const MAX_LIMITED_SHARE: f64 = 0.8;
+/// Factor by which more is admitted than there is room for, so that no slot is unused
+/// when requests arrive unevenly; the hosts' own estimates refuse what is too much.
+const SHARE_SLACK: f64 = 1.5;
+
 #[derive(Clone, Copy, Debug)]
 struct UpstreamLoad {
     observed_at: Moment,
@@ -138,7 +144,9 @@
         // At least one request passes in each interval, or nothing would be measured.
         let capacity = self.capacity.map(|capacity| capacity.max(1.0 / seconds));
         let share = capacity.map(|capacity| capacity / wanted_rate.max(f64::MIN_POSITIVE));
-        self.load.admitted_share = share.filter(|share| *share < 1.0);
+        self.load.admitted_share = share
+            .filter(|share| *share < MAX_LIMITED_SHARE)
+            .map(|share| (share * SHARE_SLACK).min(1.0));
         if self.load.admitted_share.is_none() && !is_saturated {
             self.capacity = None;
         }
--- a/crates/place/src/selector.rs
+++ b/crates/place/src/selector.rs
@@ -21,7 +21,11 @@
 /// Number of upstreams without a recent report that are compared in each failure domain
 /// for one request. Comparing all would send the requests of all hosts to the same fast
 /// upstreams.
-const SAMPLE_COUNT: usize = 1;
+const SAMPLE_COUNT: usize = 2;
+/// Factor by which the score of a sampled upstream must be lower than that of the one
+/// drawn before it. Taking the faster of two usual upstreams would overload the fast
+/// ones; one that is slow or fails is avoided all the same.
+const RESAMPLE_FACTOR: f64 = 2.0;
 
 /// Number of further upstreams that are considered if none of those compared has room.
 /// Looking for the last one with room would send the requests of all hosts there.
@@ -160,14 +164,23 @@
         }
         let mut ranking = Ranking::default();
         let mut unsampled = Vec::new();
-        for index in self.compared_candidates(now, candidates, mean_work, &mut unsampled) {
-            self.judge(now, candidates, index, mean_work, limits, &mut ranking);
+        for (index, factor) in self.compared_candidates(now, candidates, mean_work, &mut unsampled)
+        {
+            self.judge(
+                now,
+                candidates,
+                index,
+                mean_work,
+                limits,
+                factor,
+                &mut ranking,
+            );
         }
         for index in unsampled.into_iter().take(FALLBACK_COUNT) {
             if ranking.best.is_some() {
                 break;
             }
-            self.judge(now, candidates, index, mean_work, limits, &mut ranking);
+            self.judge(now, candidates, index, mean_work, limits, 1.0, &mut ranking);
         }
         if let Some((_, expected_ms, index)) = ranking.best {
             return Selection::Send {
@@ -217,7 +230,7 @@
         candidates: &[UpstreamCandidate],
         work: MeanWork,
         unsampled: &mut Vec<usize>,
-    ) -> Vec<usize> {
+    ) -> Vec<(usize, f64)> {
         let mut compared = Vec::new();
         let mut drawn: Vec<(f64, usize)> = Vec::new();
         for (index, candidate) in candidates.iter().enumerate() {
@@ -226,7 +239,7 @@
                 continue;
             };
             if state.is_report_fresh(now, work) || state.is_in_backoff(now) {
-                compared.push(index);
+                compared.push((index, 1.0));
                 continue;
             }
             // Weighted sampling without replacement: the smallest of exponential
@@ -240,8 +253,9 @@
         for (_, index) in drawn {
             let count = &mut sampled[usize::from(candidates[index].is_local)];
             if *count < SAMPLE_COUNT {
+                let factor = if *count == 0 { 1.0 } else { RESAMPLE_FACTOR };
                 *count += 1;
-                compared.push(index);
+                compared.push((index, factor));
             } else {
                 unsampled.push(index);
             }
@@ -257,6 +271,7 @@
         index: usize,
         work: MeanWork,
         limits: &SelectionLimits,
+        factor: f64,
         ranking: &mut Ranking,
     ) {
         let candidate = &candidates[index];
@@ -277,7 +292,7 @@
         } else {
             to_ms(limits.cross_domain_cost)
         };
-        let score = estimate.score(limits) * state.avoidance() + domain_cost_ms;
+        let score = estimate.score(limits) * state.avoidance() * factor + domain_cost_ms;
         if ranking
             .best
             .is_none_or(|(best_score, ..)| score < best_score)
--- a/crates/place/src/state.rs
+++ b/crates/place/src/state.rs
@@ -6,9 +6,11 @@
 
 /// Weight of a new report of other hosts' requests.
 const REPORT_WEIGHT: f64 = 0.6;
-/// Age at which a report of other hosts' requests counts half, in mean service times; a
+/// Age at which a report of other hosts' requests counts half, in mean service times.
+const REPORT_HALF_LIFE: f64 = 8.0;
+/// Age up to which a report tells whether a slot is free, in mean service times; a
 /// request that was running then has about ended.
-const REPORT_HALF_LIFE: f64 = 1.5;
+const MAX_FRESH_AGE: f64 = 1.5;
 /// Age at which the occupancy observed by all hosts counts half, in mean service times;
 /// longer than that of one report, as it is an average over time.
 const FLEET_HALF_LIFE: f64 = 4.0;
@@ -36,8 +38,6 @@
 /// Interval between probes of an upstream in backoff that requests would have been sent
 /// to; longer than one probe takes, and short compared with the backoff.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-/// Maximum number of times that the pause after a rejected request doubles.
-const MAX_FULL_DOUBLINGS: u32 = 4;
 /// Factor by which a cold upstream is assumed to be slower.
 const COLD_FACTOR: f64 = 2.0;
 /// Avoidance of failing upstreams where there is a choice: at a failure rate of 1 the
@@ -118,8 +118,6 @@
     backoff_until: Moment,
     backoff: Duration,
     full_until: Moment,
-    /// Requests rejected for lack of room since the last answer.
-    consecutive_full: u32,
     /// Whether a request would have been sent here if not for the backoff.
     is_wanted: bool,
     next_probe_at: Moment,
@@ -152,7 +150,6 @@
             backoff_until: Moment::ZERO,
             backoff: MIN_BACKOFF,
             full_until: Moment::ZERO,
-            consecutive_full: 0,
             is_wanted: false,
             next_probe_at: Moment::ZERO,
             observed: ObservedSums::default(),
@@ -264,7 +261,7 @@
     /// the usual one.
     pub(crate) fn is_report_fresh(&self, now: Moment, work: MeanWork) -> bool {
         self.reported_at > Moment::ZERO
-            && age_in_units(now, self.reported_at, work.unit_ms) < REPORT_HALF_LIFE
+            && age_in_units(now, self.reported_at, work.unit_ms) < MAX_FRESH_AGE
     }
 
     /// Returns the expected service time relative to that of all upstreams.
@@ -315,7 +312,6 @@
             RequestOutcome::Answered => {
                 self.observed.answered += 1;
                 self.record_result(0.0);
-                self.consecutive_full = 0;
                 return self.record_service(now, sent, report, work);
             }
             RequestOutcome::Failed => self.record_result(1.0),
@@ -330,14 +326,10 @@
         None
     }
 
-    /// Pauses for the mean time in which one slot becomes free, and for twice as long
-    /// after each further rejection.
+    /// Pauses for the mean time in which one slot becomes free.
     fn record_full(&mut self, now: Moment, slots: u32, unit_ms: Option<f64>) {
-        let doublings = self.consecutive_full.min(MAX_FULL_DOUBLINGS);
-        self.consecutive_full += 1;
         let slot_ms = unit_ms.unwrap_or_default() / f64::from(slots.max(1));
-        let pause = Duration::from_secs_f64(slot_ms / 1_000.0) * (1 << doublings);
-        self.full_until = now + pause;
+        self.full_until = now + Duration::from_secs_f64(slot_ms / 1_000.0);
     }
 
     fn record_result(&mut self, failure: f64) {
