Let only the named successor take a lease that its leader yields

Each change of leader makes keys wait that are changing their holder. Strong hosts polled as seldom as all others, once in 16 s with 110 hosts, so weak ones came first.

Change: an announced end names its successor, and other hosts wait until the lease expires. The lease row counts the strong hosts, which share the poll rate among themselves.

--- a/crates/front/src/leader/lease.rs
+++ b/crates/front/src/leader/lease.rs
@@ -60,8 +60,15 @@
             return STANDBY_POLL_INTERVAL * backoff_factor;
         }
         // Uniform between zero and twice the mean: after a start or a loss of the
-        // leader, some host polls soon although each polls seldom.
-        let host_factor = f64::from(row.hosts.max(FULL_RATE_HOSTS)) / f64::from(FULL_RATE_HOSTS);
+        // leader, some host polls soon although each polls seldom. Weak hosts leave the
+        // lease to strong ones, which therefore share the rate among themselves.
+        let is_strong = self.context.settings.strength() >= MIN_LEADER_STRENGTH;
+        let pollers = if is_strong {
+            row.strong_hosts
+        } else {
+            row.hosts
+        };
+        let host_factor = f64::from(pollers.max(FULL_RATE_HOSTS)) / f64::from(FULL_RATE_HOSTS);
         MEAN_POLL_INTERVAL.mul_f64(host_factor * 2.0 * self.context.random.fraction())
     }
 
@@ -81,17 +88,18 @@
         let row = self.row.as_ref();
         let is_own_lease =
             row.is_some_and(|row| row.belongs_to(&claimant) && self.yielded_term != Some(row.term));
-        let has_term_ended =
-            row.is_some_and(|row| self.context.peers.announced_end(row.term).is_some());
+        let own_name = &self.context.settings.name;
+        let is_successor =
+            row.is_some_and(|row| self.context.peers.may_succeed(row.term, own_name));
         let is_available =
-            has_term_ended || row.is_none_or(|row| row.is_available_to(&claimant, store_now));
+            is_successor || row.is_none_or(|row| row.is_available_to(&claimant, store_now));
         // A weak host leaves the lease to a strong one that polls in time.
         let is_weak = self.context.settings.strength() < MIN_LEADER_STRENGTH;
         let expired_for = row.map_or_else(
             || self.now() - self.started_at,
             |row| Duration::from_millis(store_now.saturating_sub(row.expires_ms)),
         );
-        let must_defer = is_weak && !has_term_ended && expired_for < WEAK_HOST_DELAY;
+        let must_defer = is_weak && !is_successor && expired_for < WEAK_HOST_DELAY;
         if is_own_lease
             || (is_available && !must_defer && self.context.replica.has_sheet_and_entries())
         {
@@ -309,6 +317,12 @@
                 host.name.clone(),
             )
         });
+        let is_strong = |strength: u32| strength >= MIN_LEADER_STRENGTH;
+        let strong_others = others
+            .iter()
+            .filter(|host| is_strong(host.strength))
+            .count() as u32;
+        let strong_hosts = strong_others + u32::from(is_strong(settings.strength()));
         let standbys = others.into_iter().take(STANDBY_COUNT).map(|host| host.name);
         LeaseRow {
             term,
@@ -321,6 +335,7 @@
                 .grants_valid_for
                 .map(|duration| duration.as_millis() as u64),
             hosts,
+            strong_hosts,
             standbys: standbys.collect(),
         }
     }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -62,6 +62,17 @@
     state: Mutex<PeerState>,
 }
 
+/// The last announced end of a term.
+#[derive(Clone, Debug)]
+struct AnnouncedEnd {
+    term: u64,
+    /// The state that the term left behind when the announcement arrived.
+    previous: PreviousTerm,
+    announced_at: Moment,
+    /// The host that should take over; any may if none is named.
+    successor: Option<String>,
+}
+
 #[derive(Debug)]
 struct PeerState {
     leader: Option<SocketAddr>,
@@ -70,9 +81,7 @@
     is_standby: bool,
     /// Whether this host polls the store while the leader does not reach it.
     is_backup_poller: bool,
-    /// The last announced end of a term: the term, the state it left behind, and when
-    /// the announcement arrived.
-    announced_end: Option<(u64, PreviousTerm, Moment)>,
+    announced_end: Option<AnnouncedEnd>,
     /// Whether this host has yet to act on an announced end of a term.
     is_end_pending: bool,
     /// When the store last answered this host.
@@ -170,16 +179,30 @@
     /// end.
     pub(crate) fn announced_end(&self, term: u64) -> Option<PreviousTerm> {
         let now = self.clock.now();
-        let (ended_term, previous, announced_at) = self.state.lock().announced_end?;
-        let grants_valid_for = previous
+        let state = self.state.lock();
+        let end = state.announced_end.as_ref()?;
+        let grants_valid_for = end
+            .previous
             .grants_valid_for
-            .map(|duration| duration.saturating_sub(now - announced_at));
-        (ended_term == term).then_some(PreviousTerm {
+            .map(|duration| duration.saturating_sub(now - end.announced_at));
+        (end.term == term).then_some(PreviousTerm {
             grants_valid_for,
-            ..previous
+            ..end.previous
         })
     }
 
+    /// Returns whether the leader of `term` has announced its end and left the lease to
+    /// this host, or to any.
+    ///
+    /// Another host than the named one waits until the lease expires. A weak host that
+    /// came first would soon leave the lease to a stronger one, and the keys that change
+    /// their holder would wait each time.
+    pub(crate) fn may_succeed(&self, term: u64, own_name: &str) -> bool {
+        let state = self.state.lock();
+        let end = state.announced_end.as_ref().filter(|end| end.term == term);
+        end.is_some_and(|end| end.successor.as_ref().is_none_or(|name| name == own_name))
+    }
+
     /// Returns whether this host should act on an announced end of a term, and clears
     /// the flag.
     pub(crate) fn take_pending_end(&self) -> bool {
@@ -302,9 +325,15 @@
         if let Some(previous) = reply.end_state {
             if state
                 .announced_end
-                .is_none_or(|(term, ..)| term < reply.term)
+                .as_ref()
+                .is_none_or(|end| end.term < reply.term)
             {
-                state.announced_end = Some((reply.term, previous.into(), now));
+                state.announced_end = Some(AnnouncedEnd {
+                    term: reply.term,
+                    previous: previous.into(),
+                    announced_at: now,
+                    successor: reply.successor.clone(),
+                });
                 // Hosts that need not act wait for the new leader's announcement;
                 // otherwise all would poll at once.
                 state.is_end_pending = match &reply.successor {
--- a/crates/grant/src/lease.rs
+++ b/crates/grant/src/lease.rs
@@ -25,6 +25,9 @@
     pub held_for_ms: Option<u64>,
     /// Number of hosts that the leader considers live.
     pub hosts: u32,
+    /// Number of these hosts that are strong enough to lead without waiting for others.
+    #[serde(default)]
+    pub strong_hosts: u32,
     /// Names of the hosts that check the lease most often.
     #[serde(default)]
     pub standbys: Vec<String>,
--- a/crates/grant/tests/balance.rs
+++ b/crates/grant/tests/balance.rs
@@ -236,6 +236,7 @@
         is_clean: false,
         held_for_ms: None,
         hosts: 2,
+        strong_hosts: 2,
         standbys: Vec::new(),
     }
 }
--- a/crates/place/src/selector.rs
+++ b/crates/place/src/selector.rs
@@ -166,21 +166,15 @@
         let mut unsampled = Vec::new();
         for (index, factor) in self.compared_candidates(now, candidates, mean_work, &mut unsampled)
         {
-            self.judge(
-                now,
-                candidates,
-                index,
-                mean_work,
-                limits,
-                factor,
-                &mut ranking,
-            );
+            let judged = self.judge(now, &candidates[index], mean_work, limits);
+            ranking.add(index, judged, factor);
         }
         for index in unsampled.into_iter().take(FALLBACK_COUNT) {
             if ranking.best.is_some() {
                 break;
             }
-            self.judge(now, candidates, index, mean_work, limits, 1.0, &mut ranking);
+            let judged = self.judge(now, &candidates[index], mean_work, limits);
+            ranking.add(index, judged, 1.0);
         }
         if let Some((_, expected_ms, index)) = ranking.best {
             return Selection::Send {
@@ -263,41 +257,32 @@
         compared
     }
 
-    /// Estimates the course of a request at one candidate and ranks it.
+    /// Estimates the course of a request at one candidate.
     fn judge(
         &mut self,
         now: Moment,
-        candidates: &[UpstreamCandidate],
-        index: usize,
+        candidate: &UpstreamCandidate,
         work: MeanWork,
         limits: &SelectionLimits,
-        factor: f64,
-        ranking: &mut Ranking,
-    ) {
-        let candidate = &candidates[index];
+    ) -> Judgment {
         let state = self.upstreams.entry(candidate.id.clone()).or_default();
         if state.is_in_backoff(now) {
             state.record_wanted();
-            return;
+            return Judgment::Unreachable;
         }
         let estimate = LoadEstimate::new(now, state, candidate, work);
         let excess_ms = estimate.excess_ms(limits);
         if excess_ms > 0.0 {
-            let least_ms = ranking.least_excess_ms.unwrap_or(f64::INFINITY);
-            ranking.least_excess_ms = Some(least_ms.min(excess_ms));
-            return;
+            return Judgment::NoRoom { excess_ms };
         }
-        let domain_cost_ms = if candidate.is_local {
-            0.0
-        } else {
-            to_ms(limits.cross_domain_cost)
-        };
-        let score = estimate.score(limits) * state.avoidance() * factor + domain_cost_ms;
-        if ranking
-            .best
-            .is_none_or(|(best_score, ..)| score < best_score)
-        {
-            ranking.best = Some((score, estimate.answer_ms(), index));
+        Judgment::Room {
+            score: estimate.score(limits) * state.avoidance(),
+            domain_cost_ms: if candidate.is_local {
+                0.0
+            } else {
+                to_ms(limits.cross_domain_cost)
+            },
+            answer_ms: estimate.answer_ms(),
         }
     }
 
@@ -356,6 +341,21 @@
     }
 }
 
+/// Whether a candidate may be sent a request.
+#[derive(Clone, Copy, Debug)]
+enum Judgment {
+    /// No connection can be made to it at present.
+    Unreachable,
+    /// It exceeds the limits by this time.
+    NoRoom { excess_ms: f64 },
+    /// It has room; the lowest score is the best.
+    Room {
+        score: f64,
+        domain_cost_ms: f64,
+        answer_ms: f64,
+    },
+}
+
 /// The best candidate so far.
 #[derive(Clone, Copy, Debug, Default)]
 struct Ranking {
@@ -365,6 +365,29 @@
     least_excess_ms: Option<f64>,
 }
 
+impl Ranking {
+    /// Adds a candidate whose score counts `factor` times.
+    fn add(&mut self, index: usize, judgment: Judgment, factor: f64) {
+        match judgment {
+            Judgment::Unreachable => {}
+            Judgment::NoRoom { excess_ms } => {
+                let least_ms = self.least_excess_ms.unwrap_or(f64::INFINITY);
+                self.least_excess_ms = Some(least_ms.min(excess_ms));
+            }
+            Judgment::Room {
+                score,
+                domain_cost_ms,
+                answer_ms,
+            } => {
+                let total = score * factor + domain_cost_ms;
+                if self.best.is_none_or(|(best_score, ..)| total < best_score) {
+                    self.best = Some((total, answer_ms, index));
+                }
+            }
+        }
+    }
+}
+
 /// Expected course of a request at one upstream, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 struct LoadEstimate {
