Tell hosts of the sheet and the entries from the leader

Most come from 195 hosts that each follow the sheet, read all tables at their start, and retry while the store refuses them.

Change: the leader and its standbys follow sheet and entries; the leader sends the sheet's row and all entries to the hosts that lack them. Others read the store when the leader is silent for 0.55 of the drain bound, or has lost the store for 0.6 s. At the first start of a deployment hosts wait up to 1.5 s for a leader, at a restart with a live leader 0.4 s, and not at all when the lease has expired. Delays after failed calls grow with the number of hosts, but for the standbys. Owners are read from the store only after a silence.

--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -13,7 +13,7 @@
 use crate::peers::PeerRegistry;
 use crate::pool::ConnectionPool;
 use crate::random::RandomSource;
-use crate::replica::{FollowedTable, StoreReplica, follow_table, poll_owners};
+use crate::replica::{FollowedTable, StoreReplica, TableFollower, poll_owners};
 use crate::reports::ReportChannel;
 use crate::view::SharedView;
 use arc_swap::ArcSwap;
@@ -227,18 +227,20 @@
     fn spawn_followers(&self, replica: &Arc<StoreReplica>) {
         let store = Arc::clone(&self.store);
         let tables = self.platform.tables().clone();
-        let followed = [
+        let followed_tables = [
             (FollowedTable::Sheet, tables.sheet),
             (FollowedTable::Entries, tables.entries),
         ];
-        for (table, name) in followed {
-            self.scope.spawn(follow_table(
-                Arc::clone(replica),
-                Arc::clone(&store),
-                Arc::clone(&self.peers),
+        for (table, name) in followed_tables {
+            let follower = TableFollower {
+                replica: Arc::clone(replica),
+                store: Arc::clone(&store),
+                peers: Arc::clone(&self.peers),
+                bounds: Arc::clone(&self.bounds),
                 table,
                 name,
-            ));
+            };
+            self.scope.spawn(follower.run());
         }
         self.scope.spawn(poll_owners(
             Arc::clone(replica),
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -111,8 +111,8 @@
     leadership_changed_at: Moment,
     /// When the current series of failed store writes began.
     store_failing_since: Option<Moment>,
-    /// Version of the entries that was last announced to all hosts.
-    announced_version: u64,
+    /// Versions of the entries and the sheet that were last announced to all hosts.
+    announced_versions: (u64, u64),
 }
 
 impl LeaderLoop {
@@ -144,7 +144,7 @@
             yielded_term: None,
             leadership_changed_at: Moment::ZERO,
             store_failing_since: None,
-            announced_version: 0,
+            announced_versions: (0, 0),
             context,
         }
     }
@@ -251,14 +251,15 @@
         }
     }
 
-    /// Tells all hosts of changed entries; a host that misses the message says so in
-    /// its next report.
-    async fn announce_entry_changes(&mut self) {
-        let version = self.context.replica.last_entry_version();
-        if version <= self.announced_version {
+    /// Tells all hosts of changed entries and of a new sheet; a host that misses the
+    /// message says so in its next report.
+    async fn announce_changes(&mut self) {
+        let replica = &self.context.replica;
+        let versions = (replica.last_entry_version(), replica.sheet_version());
+        if versions == self.announced_versions {
             return;
         }
-        self.announced_version = version;
+        self.announced_versions = versions;
         let term = self.row.as_ref().map_or(0, |row| row.term);
         self.context.report_channel.announce(term).await;
     }
@@ -267,7 +268,7 @@
     async fn lead(&mut self, now: Moment) {
         let term = self.row.as_ref().map_or(0, |row| row.term);
         self.announce_feed_state(term).await;
-        self.announce_entry_changes().await;
+        self.announce_changes().await;
         if self.yield_lease(now).await {
             return;
         }
--- a/crates/front/src/leader/lease.rs
+++ b/crates/front/src/leader/lease.rs
@@ -1,6 +1,7 @@
 //! The leader's lease in the store: how it is acquired, renewed, yielded and given up.
 
 use super::{LeaderLoop, TICK_INTERVAL};
+use crate::peers::LeaseAtStart;
 use crate::replica::decode_owner_row;
 use async_std::future::timeout;
 use grant::{GrantLedger, GrantTiming, LeaseClaimant, LeaseRow, OwnerMap, PreviousTerm};
@@ -130,6 +131,12 @@
         let found = page.rows.iter().find(|row| row.key == LEASE_KEY);
         self.row_version = found.map_or(0, |row| row.version);
         self.row = found.and_then(decode_lease_row);
+        let lease_at_start = match &self.row {
+            None => LeaseAtStart::Absent,
+            Some(row) if row.expires_ms > page.store_now_ms => LeaseAtStart::Held,
+            Some(_) => LeaseAtStart::Expired,
+        };
+        self.context.peers.record_lease_at_start(lease_at_start);
         let leader = self.row.as_ref().and_then(|row| row.address.parse().ok());
         self.context.peers.set_leader(leader);
         if let Some(row) = &self.row {
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -14,9 +14,12 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Maximum size of a datagram, in bytes; the limit of UDP is 64 KB. Owners that do not
-/// fit are read from the store.
+/// Maximum size of a datagram, in bytes; the limit of UDP is 64 KB. Owners and sheets
+/// that do not fit are read from the store.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 60 << 10;
+/// Maximum size of a sheet's row in a datagram, in bytes; the other fields take less than
+/// the rest.
+pub(crate) const MAX_SHEET_BYTES: usize = MAX_DATAGRAM_BYTES - (8 << 10);
 /// First byte of every message. A message with another format comes from a host that
 /// runs another version of the program during an upgrade.
 const FORMAT: u8 = 11;
@@ -95,8 +98,6 @@
     pub observed_loads: Vec<WireObservation>,
     /// Whether the store has answered the host recently.
     pub reaches_store: bool,
-    /// Version of the host's sheet; 0 while it has none.
-    pub sheet_version: u64,
     /// The versions that the host knows.
     pub known: KnownVersions,
 }
@@ -108,6 +109,19 @@
     pub owners: Vec<(ServiceName, u64)>,
     /// Version up to which the upstreams' entries are known.
     pub entries: u64,
+    /// Version of the sheet; 0 without one.
+    pub sheet: u64,
+}
+
+/// The sheet in a message of the leader.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum WireSheet {
+    /// The receiver knows it.
+    Known,
+    /// The store's row.
+    Row(Vec<u8>),
+    /// It does not fit a datagram; the receiver has to read it from the store.
+    InStore,
 }
 
 /// Load of an upstream as one host observed it.
@@ -355,6 +369,8 @@
     pub host_count: u32,
     /// Version of the leader's sheet; 0 while it has none.
     pub sheet_version: u64,
+    /// The leader's sheet.
+    pub sheet: WireSheet,
     pub suspects: Vec<Suspect>,
     /// Owners that the receiver did not know.
     pub owners: Vec<OwnerUpdate>,
@@ -362,6 +378,8 @@
     pub entries_base: u64,
     /// Entries that the receiver did not know, in order of version.
     pub entries: Vec<WireEntry>,
+    /// Version of the newest entry; a receiver that knows the entries up to it knows all.
+    pub entries_version: u64,
     /// Loads of upstreams, as observed by all hosts.
     pub fleet_loads: Vec<WireLoad>,
     pub standbys: Vec<String>,
@@ -370,6 +388,22 @@
 }
 
 impl LeaderReply {
+    /// Returns a message that follows this one, with further entries.
+    pub(crate) fn continued(&self, entries_base: u64, entries: Vec<WireEntry>) -> Self {
+        Self {
+            sheet: WireSheet::Known,
+            suspects: Vec::new(),
+            owners: Vec::new(),
+            fleet_loads: Vec::new(),
+            host_addresses: Vec::new(),
+            standbys: self.standbys.clone(),
+            successor: self.successor.clone(),
+            entries_base,
+            entries,
+            ..*self
+        }
+    }
+
     /// Returns the version up to which the receiver knows the entries after this
     /// message.
     pub(crate) fn entries_end(&self) -> u64 {
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -62,6 +62,19 @@
     state: Mutex<PeerState>,
 }
 
+/// What the lease showed when this host started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LeaseAtStart {
+    /// It has not been read yet.
+    Unknown,
+    /// There has never been a lease: the whole deployment starts for the first time.
+    Absent,
+    /// A leader holds it, and tells this host what it has to know.
+    Held,
+    /// It has expired.
+    Expired,
+}
+
 /// The last announced end of a term.
 #[derive(Clone, Debug)]
 struct AnnouncedEnd {
@@ -84,12 +97,17 @@
     announced_end: Option<AnnouncedEnd>,
     /// Whether this host has yet to act on an announced end of a term.
     is_end_pending: bool,
+    lease_at_start: LeaseAtStart,
     /// When the store last answered this host.
     store_reached_at: Option<Moment>,
     /// Whether this host receives changed entries from the store.
     is_feed_live: bool,
     /// Whether the leader receives changed entries from the store.
     is_leader_feed_live: bool,
+    /// Since when it does not.
+    leader_feed_lost_at: Option<Moment>,
+    /// Number of hosts that the leader considers live.
+    host_count: u32,
     /// The term of this host while it leads.
     leading_term: Option<u64>,
     standbys: Vec<String>,
@@ -122,9 +140,12 @@
                 is_backup_poller: false,
                 announced_end: None,
                 is_end_pending: false,
+                lease_at_start: LeaseAtStart::Unknown,
                 store_reached_at: None,
                 is_feed_live: true,
                 is_leader_feed_live: false,
+                leader_feed_lost_at: None,
+                host_count: 1,
                 leading_term: None,
                 standbys: Vec::new(),
                 hosts: IndexMap::new(),
@@ -167,12 +188,22 @@
                 .is_some_and(|at| now - at < max_silence)
     }
 
-    /// Returns whether the leader sends this host changes of entries.
+    /// Returns whether the leader tells this host of changes in the store.
     ///
     /// A leader that has lost the store may go on leading for a while, but no longer
-    /// learns of upstreams that leave.
-    pub(crate) fn receives_entries(&self, max_silence: Duration) -> bool {
-        self.is_leader_live(max_silence) && self.state.lock().is_leader_feed_live
+    /// learns of upstreams that leave; within `loss_grace` another host takes over.
+    pub(crate) fn receives_changes(&self, max_silence: Duration, loss_grace: Duration) -> bool {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let seen_at = state.leader_seen_at;
+        let is_live = seen_at.is_some_and(|at| now - at < max_silence);
+        let lost_at = state.leader_feed_lost_at;
+        is_live && lost_at.is_none_or(|at| now - at < loss_grace)
+    }
+
+    /// Returns the number of hosts, as far as known.
+    pub(crate) fn host_count(&self) -> u32 {
+        self.state.lock().host_count
     }
 
     /// Returns the state that the leader of `term` left behind, if it announced its
@@ -209,6 +240,19 @@
         std::mem::take(&mut self.state.lock().is_end_pending)
     }
 
+    /// Records what the lease shows; only the first call counts.
+    pub(crate) fn record_lease_at_start(&self, lease: LeaseAtStart) {
+        let mut state = self.state.lock();
+        if state.lease_at_start == LeaseAtStart::Unknown {
+            state.lease_at_start = lease;
+        }
+    }
+
+    /// Returns what the lease showed when this host started.
+    pub(crate) fn lease_at_start(&self) -> LeaseAtStart {
+        self.state.lock().lease_at_start
+    }
+
     /// Records that the store has answered this host.
     pub(crate) fn record_store_contact(&self) {
         let mut state = self.state.lock();
@@ -353,6 +397,12 @@
             state.is_backup_poller = state.is_standby || is_selected;
         }
         state.is_leader_feed_live = reply.is_feed_live;
+        state.leader_feed_lost_at = match state.leader_feed_lost_at {
+            _ if reply.is_feed_live => None,
+            None => Some(now),
+            earlier => earlier,
+        };
+        state.host_count = reply.host_count;
         state.leader_seen_at = Some(now);
         true
     }
@@ -410,6 +460,7 @@
             // Nothing is sent twice, unless a report shows that the host lacks it.
             host.known.owners.clone_from(&announced.owners);
             host.known.entries = host.known.entries.max(announced.entries);
+            host.known.sheet = host.known.sheet.max(announced.sheet);
         }
         for host_address in std::mem::take(&mut state.host_addresses) {
             if targets.iter().any(|(address, _)| *address == host_address) {
@@ -418,6 +469,7 @@
             let known = KnownVersions {
                 owners: Vec::new(),
                 entries: announced.entries,
+                sheet: announced.sheet,
             };
             targets.push((host_address, known));
         }
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -1,12 +1,13 @@
 //! Local replica of the store's sheet, entries and owners.
 
-use crate::adapter::UserPlatform;
-use crate::message::{OwnerUpdate, upstream_hash};
+use crate::adapter::{SharedBounds, UserPlatform};
+use crate::message::{MAX_SHEET_BYTES, OwnerUpdate, WireSheet, upstream_hash};
 use crate::metrics::FrontMetrics;
-use crate::peers::PeerRegistry;
+use crate::peers::{LeaseAtStart, PeerRegistry};
 use crate::random::RandomSource;
 use crate::view::{FrontView, SharedView};
 use async_channel::{Receiver, Sender, bounded};
+use async_std::future::timeout;
 use fleet::{EntryChange, FleetTiming, FleetView, KnownUpstream};
 use futures::future::{Either, select};
 use grant::{OwnerMap, WireOwners};
@@ -21,10 +22,7 @@
 use std::time::Duration;
 use store::{FeedReply, RowPage, RowStore, StoreError, TableRow};
 
-/// Time for which the store holds a feed call open without changes; it allows 30 s at
-/// most.
-const FEED_WAIT: Duration = Duration::from_secs(25);
-/// Feed wait for the entries at the leader and its standbys. It is short because a
+/// Feed wait at the leader and its standbys. It is short because a
 /// connection that is silently broken keeps changes from all hosts until the wait ends.
 const LEADER_FEED_WAIT: Duration = Duration::from_secs(2);
 /// Initial delay after a failed call; it doubles with each further failure.
@@ -37,11 +35,32 @@
 const BATCH_INTERVAL: Duration = Duration::from_millis(700);
 /// Batch interval of the leader, which passes changes on to all other hosts.
 const LEADER_BATCH_INTERVAL: Duration = Duration::from_millis(80);
-/// Silence of the leader after which a host follows the entries itself, so that it
-/// learns of a leaving upstream in time. A single lost reply exceeds it.
-const LEADER_ENTRIES_TIMEOUT: Duration = Duration::from_millis(1_100);
-/// Feed wait for the entries while the leader is silent.
+/// Fraction of the drain bound for which the leader may be silent before a host follows
+/// the store itself, so that it learns of a leaving upstream in time. A single lost reply
+/// takes less.
+const MAX_SILENCE_FRACTION: f64 = 0.55;
+/// Time for which a leader that has lost the store may take to leave the lease to another
+/// host, before hosts follow the store themselves.
+const FEED_LOSS_GRACE: Duration = Duration::from_millis(600);
+/// Feed wait of a host that follows the store while the leader is silent.
 const NO_LEADER_FEED_WAIT: Duration = Duration::from_secs(2);
+/// Time for which a host that starts waits for its first read of the lease.
+const LEASE_READ_DELAY: Duration = Duration::from_millis(150);
+/// Time for which a host that starts waits for a live leader's messages before it reads
+/// the store itself.
+const LEADER_REPLY_DELAY: Duration = Duration::from_millis(400);
+/// Maximum time for which a host waits for the leader's messages at the first start of a
+/// deployment, before which there is no traffic. The hosts' waits differ, so that some
+/// of them soon know enough to lead.
+const MAX_FIRST_START_DELAY: Duration = Duration::from_millis(1_500);
+/// Interval at which a host that follows the leader checks that it may go on doing so.
+const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(80);
+/// Interval at which a host that starts checks what it has been told.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Number of hosts above which the maximum delay after failed calls grows in proportion,
+/// so that the total rate of calls stays the same. Others notice the store's return and
+/// tell them.
+const FULL_RATE_HOSTS: u32 = 40;
 /// Time for which another host may have a newer sheet before this host fetches the table
 /// again. A working feed delivers it within the batch interval.
 const MAX_SHEET_LAG: Duration = Duration::from_secs(1);
@@ -87,6 +106,8 @@
     /// Version up to which the entries are known.
     entries_version: u64,
     has_entries: bool,
+    /// Row of the sheet in force, for hosts that do not know it.
+    sheet_row: Option<Vec<u8>>,
     /// Since when the leader, or a host that reports to it, has had a newer sheet.
     sheet_behind_since: Option<Moment>,
 }
@@ -116,6 +137,7 @@
                 entry_changes: Vec::new(),
                 entries_version: 0,
                 has_entries: false,
+                sheet_row: None,
                 sheet_behind_since: None,
             }),
         }
@@ -128,7 +150,14 @@
 
     /// Returns whether a sheet and the upstreams' entries are known.
     pub(crate) fn has_sheet_and_entries(&self) -> bool {
-        self.view.load().sheet.is_some() && self.state.lock().has_entries
+        self.has_table(FollowedTable::Sheet) && self.has_table(FollowedTable::Entries)
+    }
+
+    fn has_table(&self, table: FollowedTable) -> bool {
+        match table {
+            FollowedTable::Sheet => self.view.load().sheet.is_some(),
+            FollowedTable::Entries => self.state.lock().has_entries,
+        }
     }
 
     /// Applies the complete contents of a table.
@@ -220,6 +249,23 @@
         }
     }
 
+    /// Fetches the sheet from the store if its version is newer than the known one.
+    pub(crate) fn fetch_sheet(&self, version: u64) {
+        if self.sheet_version() < version {
+            // The channel holds one request, which is enough.
+            let _is_sent = self.refetch_sender.try_send(());
+        }
+    }
+
+    /// Returns the row of the sheet in force, for a message.
+    pub(crate) fn sheet_row(&self) -> WireSheet {
+        match &self.state.lock().sheet_row {
+            None => WireSheet::Known,
+            Some(row) if row.len() > MAX_SHEET_BYTES => WireSheet::InStore,
+            Some(row) => WireSheet::Row(row.clone()),
+        }
+    }
+
     /// Waits until the table has to be fetched again because its feed is silent.
     async fn wait_for_refetch(&self, table: FollowedTable) {
         if table != FollowedTable::Sheet || self.refetch_receiver.recv().await.is_err() {
@@ -269,14 +315,19 @@
                 warn!(target: "sheet", "the sheet was removed; the last one stays in force");
                 continue;
             };
-            match self.platform.decode_sheet(bytes) {
-                Ok(sheet) => self.publish_sheet(sheet),
-                Err(error) => warn!(target: "sheet", "invalid sheet ignored: {error}"),
-            }
+            self.apply_sheet_row(bytes);
+        }
+    }
+
+    /// Puts the sheet in a row of the store into force, unless a newer one is.
+    pub(crate) fn apply_sheet_row(&self, row: &[u8]) {
+        match self.platform.decode_sheet(row) {
+            Ok(sheet) => self.publish_sheet(sheet, row),
+            Err(error) => warn!(target: "sheet", "invalid sheet ignored: {error}"),
         }
     }
 
-    fn publish_sheet(&self, sheet: RouteSheet) {
+    fn publish_sheet(&self, sheet: RouteSheet, row: &[u8]) {
         let mut state = self.state.lock();
         let view = self.view.load();
         let previous_version = view.routes.version();
@@ -290,6 +341,7 @@
         );
         self.metrics.sheet_version.set(sheet.version.cast_signed());
         state.sheet_behind_since = None;
+        state.sheet_row = Some(row.to_vec());
         let routes = Arc::new(PrefixTable::compile(&sheet, &view.routes));
         self.publish(&state, |view| {
             view.routes = routes;
@@ -305,7 +357,7 @@
         let mut state = self.state.lock();
         let known_version = state.entries_version;
         let has_new_changes = changes.iter().any(|change| change.version > known_version);
-        if !state.has_entries || known_version < base || !has_new_changes {
+        if known_version < base || !has_new_changes {
             return;
         }
         for change in changes {
@@ -333,6 +385,21 @@
         self.publish_fleet(&state);
     }
 
+    /// Records that the newest entry at the leader has this version: a host that knows
+    /// the entries up to it knows all.
+    pub(crate) fn record_complete_entries(&self, version: u64) {
+        let mut state = self.state.lock();
+        if version > 0 && state.entries_version >= version {
+            state.has_entries = true;
+        }
+    }
+
+    /// Records that the store does not answer the leader, so that entries may lapse
+    /// although their upstreams live.
+    pub(crate) fn record_leader_outage(&self) {
+        self.state.lock().fleet.record_outage(self.clock.now());
+    }
+
     /// Applies a row of owners, unless a newer one is known.
     pub(crate) fn apply_owner_row(&self, row: &TableRow) {
         let service = ServiceName::from(row.key.as_str());
@@ -503,89 +570,164 @@
 
 /// Follows a table for as long as the process runs.
 ///
-/// The leader and its standbys follow the entries; other hosts receive them from the
-/// leader, unless it is silent.
-pub(crate) async fn follow_table(
-    replica: Arc<StoreReplica>,
-    store: Arc<dyn RowStore>,
-    peers: Arc<PeerRegistry>,
-    table: FollowedTable,
-    name: String,
-) {
-    let mut backoff = MIN_BACKOFF;
-    let mut after = None;
-    let mut is_failing = false;
-    loop {
-        let mut wait = FEED_WAIT;
-        if table == FollowedTable::Entries && after.is_some() {
-            after = Some(replica.entries_version());
-            if peers.is_leading() || peers.is_standby() {
-                wait = LEADER_FEED_WAIT;
-            } else if peers.receives_entries(LEADER_ENTRIES_TIMEOUT) {
-                async_std::task::sleep(LEADER_BATCH_INTERVAL).await;
+/// The leader and its standbys follow the store; other hosts receive the changes from
+/// the leader, unless it is silent.
+#[derive(Debug)]
+pub(crate) struct TableFollower {
+    pub replica: Arc<StoreReplica>,
+    pub store: Arc<dyn RowStore>,
+    pub peers: Arc<PeerRegistry>,
+    pub bounds: SharedBounds,
+    pub table: FollowedTable,
+    /// Name of the table in the store.
+    pub name: String,
+}
+
+/// Next step of a follower.
+enum FollowStep {
+    /// Read the whole table.
+    List,
+    /// Wait for changes after a version of the store.
+    Feed(u64),
+}
+
+impl TableFollower {
+    /// Runs until its scope closes.
+    pub(crate) async fn run(self) {
+        let mut backoff = MIN_BACKOFF;
+        let mut is_failing = false;
+        let mut step = self.start().await;
+        loop {
+            if matches!(step, FollowStep::Feed(_)) && self.is_told_by_leader() {
+                if self.wait_for_refetch(LEADER_CHECK_INTERVAL).await {
+                    step = FollowStep::List;
+                }
                 continue;
-            } else {
-                wait = NO_LEADER_FEED_WAIT;
             }
-        }
-        let batch_interval = if peers.is_leading() {
-            LEADER_BATCH_INTERVAL
-        } else {
-            BATCH_INTERVAL
-        };
-        let result = match after {
-            None => store.list(&name).await.map(|page| {
-                replica.apply_table(table, &page);
-                Some(page.version)
-            }),
-            Some(version) => {
-                let feed = store.feed(&name, version, wait);
-                let refetch = pin!(replica.wait_for_refetch(table));
-                match select(feed, refetch).await {
-                    Either::Left((Ok(FeedReply::Changes(page)), _)) => {
-                        replica.apply_changes(table, &page);
-                        Ok(Some(page.version.max(version)))
+            match self.take_step(&step).await {
+                Ok(next) => {
+                    if is_failing {
+                        info!(target: "store", "table={} state=regained", self.name);
                     }
-                    Either::Left((Ok(FeedReply::HistoryUnavailable), _)) => {
-                        warn!(target: "store", "table={name} state=history_gone after={version}");
-                        Ok(None)
-                    }
-                    Either::Left((Err(error), _)) => Err(error),
-                    Either::Right(((), _)) => {
-                        warn!(target: "store", "table={name} state=behind after={version}");
-                        Ok(None)
+                    is_failing = false;
+                    self.set_feed_live(true);
+                    step = next;
+                    backoff = MIN_BACKOFF;
+                    async_std::task::sleep(self.batch_interval()).await;
+                }
+                Err(error) => {
+                    self.replica.record_outage(&error);
+                    if !is_failing {
+                        warn!(target: "store", "table={} state=lost error=\"{error}\"", self.name);
                     }
+                    is_failing = true;
+                    self.set_feed_live(false);
+                    let random_factor = 0.75 + 0.5 * self.replica.random.fraction();
+                    async_std::task::sleep(backoff.mul_f64(random_factor)).await;
+                    backoff = (backoff * 2).min(self.max_backoff());
                 }
             }
+        }
+    }
+
+    /// Waits for the leader's messages at the start; returns the first step.
+    async fn start(&self) -> FollowStep {
+        let started_at = self.replica.clock.now();
+        let first_start_delay = MAX_FIRST_START_DELAY.mul_f64(self.replica.random.fraction());
+        loop {
+            if self.replica.has_table(self.table) {
+                // No version of the store is known; it answers that there is no history
+                // after the first one, and the table is read.
+                return FollowStep::Feed(0);
+            }
+            let delay = match self.peers.lease_at_start() {
+                LeaseAtStart::Unknown => LEASE_READ_DELAY,
+                LeaseAtStart::Absent => first_start_delay,
+                LeaseAtStart::Held => LEADER_REPLY_DELAY,
+                LeaseAtStart::Expired => Duration::ZERO,
+            };
+            if self.replica.clock.now() - started_at >= delay {
+                return FollowStep::List;
+            }
+            async_std::task::sleep(START_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Returns whether the leader tells this host of changes.
+    fn is_told_by_leader(&self) -> bool {
+        let max_silence = self.bounds.load().drain.mul_f64(MAX_SILENCE_FRACTION);
+        !self.is_store_reader() && self.peers.receives_changes(max_silence, FEED_LOSS_GRACE)
+    }
+
+    fn is_store_reader(&self) -> bool {
+        self.peers.is_leading() || self.peers.is_standby()
+    }
+
+    async fn take_step(&self, step: &FollowStep) -> Result<FollowStep, StoreError> {
+        let FollowStep::Feed(version) = *step else {
+            let page = self.store.list(&self.name).await?;
+            self.replica.apply_table(self.table, &page);
+            return Ok(FollowStep::Feed(page.version));
         };
-        match result {
-            Ok(next) => {
-                if is_failing {
-                    info!(target: "store", "table={name} state=regained");
-                }
-                is_failing = false;
-                if table == FollowedTable::Entries {
-                    peers.set_feed_live(true);
-                }
-                after = next;
-                backoff = MIN_BACKOFF;
-                async_std::task::sleep(batch_interval).await;
+        let version = match self.table {
+            FollowedTable::Sheet => version,
+            // The leader may have told of changes since the last call.
+            FollowedTable::Entries => self.replica.entries_version(),
+        };
+        let wait = if self.is_store_reader() {
+            LEADER_FEED_WAIT
+        } else {
+            NO_LEADER_FEED_WAIT
+        };
+        let feed = self.store.feed(&self.name, version, wait);
+        let refetch = pin!(self.replica.wait_for_refetch(self.table));
+        match select(feed, refetch).await {
+            Either::Left((Ok(FeedReply::Changes(page)), _)) => {
+                self.replica.apply_changes(self.table, &page);
+                Ok(FollowStep::Feed(page.version.max(version)))
             }
-            Err(error) => {
-                replica.record_outage(&error);
-                if !is_failing {
-                    warn!(target: "store", "table={name} state=lost error=\"{error}\"");
-                }
-                is_failing = true;
-                if table == FollowedTable::Entries {
-                    peers.set_feed_live(false);
-                }
-                async_std::task::sleep(backoff.mul_f64(0.75 + 0.5 * replica.random.fraction()))
-                    .await;
-                backoff = (backoff * 2).min(MAX_BACKOFF);
+            Either::Left((Ok(FeedReply::HistoryUnavailable), _)) => {
+                warn!(target: "store", "table={} state=history_gone after={version}", self.name);
+                Ok(FollowStep::List)
+            }
+            Either::Left((Err(error), _)) => Err(error),
+            Either::Right(((), _)) => {
+                warn!(target: "store", "table={} state=behind after={version}", self.name);
+                Ok(FollowStep::List)
             }
         }
     }
+
+    /// Waits for `duration`; returns early, with true, if the table has to be fetched
+    /// again.
+    async fn wait_for_refetch(&self, duration: Duration) -> bool {
+        timeout(duration, self.replica.wait_for_refetch(self.table))
+            .await
+            .is_ok()
+    }
+
+    fn set_feed_live(&self, is_live: bool) {
+        if self.table == FollowedTable::Entries {
+            self.peers.set_feed_live(is_live);
+        }
+    }
+
+    fn batch_interval(&self) -> Duration {
+        if self.peers.is_leading() {
+            LEADER_BATCH_INTERVAL
+        } else {
+            BATCH_INTERVAL
+        }
+    }
+
+    /// Returns the maximum delay after failed calls.
+    fn max_backoff(&self) -> Duration {
+        if self.is_store_reader() || self.peers.is_backup_poller() {
+            return MAX_BACKOFF;
+        }
+        let host_count = self.peers.host_count().max(FULL_RATE_HOSTS);
+        MAX_BACKOFF.mul_f64(f64::from(host_count) / f64::from(FULL_RATE_HOSTS))
+    }
 }
 
 /// Reads the owners from the store while the leader is silent, for as long as the
@@ -597,6 +739,8 @@
     name: String,
 ) {
     loop {
+        async_std::task::sleep(OWNER_POLL_INTERVAL.mul_f64(0.8 + 0.4 * replica.random.fraction()))
+            .await;
         if !peers.is_leader_live(OWNER_POLL_INTERVAL) {
             match store.list(&name).await {
                 Ok(page) => {
@@ -607,7 +751,5 @@
                 Err(error) => replica.record_outage(&error),
             }
         }
-        async_std::task::sleep(OWNER_POLL_INTERVAL.mul_f64(0.8 + 0.4 * replica.random.fraction()))
-            .await;
     }
 }
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -8,7 +8,7 @@
 use crate::dispatch::Dispatcher;
 use crate::message::{
     HostReport, KnownVersions, LeaderReply, MAX_DATAGRAM_BYTES, PeerMessage, Suspect, WireEntry,
-    WireLoad, WireObservation, WirePreviousTerm,
+    WireLoad, WireObservation, WirePreviousTerm, WireSheet,
 };
 use crate::peers::PeerRegistry;
 use crate::replica::StoreReplica;
@@ -102,6 +102,7 @@
         let announced = KnownVersions {
             owners: self.replica.owner_versions(),
             entries: self.replica.last_entry_version(),
+            sheet: self.replica.sheet_version(),
         };
         let mut targets = self.peers.begin_announcement(&announced);
         let own_address = self.socket.local_addr().ok();
@@ -137,10 +138,12 @@
             is_feed_live: self.peers.is_feed_live(),
             host_count: self.peers.hosts().len() as u32,
             sheet_version: self.replica.sheet_version(),
+            sheet: WireSheet::Known,
             suspects: self.suspects(),
             owners: self.replica.owner_updates_since(&known.owners),
             entries_base: known.entries,
             entries: Vec::new(),
+            entries_version: self.replica.last_entry_version(),
             fleet_loads,
             standbys: self.peers.standbys(),
             host_addresses: if is_for_standby {
@@ -161,16 +164,13 @@
                 replies[0].entries = entries;
                 continue;
             }
-            let next_reply = LeaderReply {
-                suspects: Vec::new(),
-                owners: Vec::new(),
-                fleet_loads: Vec::new(),
-                host_addresses: Vec::new(),
-                entries_base,
-                entries,
-                ..replies[0].clone()
-            };
-            replies.push(next_reply);
+            replies.push(replies[0].continued(entries_base, entries));
+        }
+        if known.sheet < replies[0].sheet_version {
+            let entries_end = replies.last().map_or(0, LeaderReply::entries_end);
+            let mut reply = replies[0].continued(entries_end, Vec::new());
+            reply.sheet = self.replica.sheet_row();
+            replies.push(reply);
         }
         replies
     }
@@ -223,14 +223,22 @@
                 .map(|(id, load)| WireObservation::from((id, *load)))
                 .collect(),
             reaches_store: self.peers.reaches_store(),
-            sheet_version: self.replica.sheet_version(),
             known: KnownVersions {
                 owners: self.replica.owner_versions(),
                 entries: self.replica.entries_version(),
+                sheet: self.replica.sheet_version(),
             },
         }
     }
 
+    fn apply_sheet(&self, reply: &LeaderReply) {
+        match &reply.sheet {
+            WireSheet::Known => self.replica.record_peer_sheet(reply.sheet_version),
+            WireSheet::Row(row) => self.replica.apply_sheet_row(row),
+            WireSheet::InStore => self.replica.fetch_sheet(reply.sheet_version),
+        }
+    }
+
     fn suspects(&self) -> Vec<Suspect> {
         let state = &self.dispatcher.state;
         let quarantine = state.quarantine.lock();
@@ -274,7 +282,7 @@
             match PeerMessage::decode(&buffer[..length]) {
                 Ok(PeerMessage::Report(report)) => {
                     self.apply_report(&report, peer);
-                    self.replica.record_peer_sheet(report.sheet_version);
+                    self.replica.record_peer_sheet(report.known.sheet);
                     self.apply_suspects(&report.suspects);
                     // A host that does not lead sends no reply, so that the sender
                     // looks for the leader in the store.
@@ -292,7 +300,10 @@
                     if !self.peers.apply_reply(&reply, peer, &self.host) {
                         continue;
                     }
-                    self.replica.record_peer_sheet(reply.sheet_version);
+                    self.apply_sheet(&reply);
+                    if !reply.is_feed_live {
+                        self.replica.record_leader_outage();
+                    }
                     self.apply_suspects(&reply.suspects);
                     self.dispatcher
                         .state
@@ -303,6 +314,7 @@
                     let changes: Vec<EntryChange> = changes.collect();
                     self.replica
                         .apply_entry_changes(reply.entries_base, &changes);
+                    self.replica.record_complete_entries(reply.entries_version);
                     for update in reply.owners {
                         self.replica.apply_owner_update(update);
                     }
