Handle pipelined requests at once and answer them in order

They were read one after the other, so a slow one took the time of those behind it, and a client that left was noticed only when nothing had arrived behind the request.

Change: each connection reads ahead up to 8 requests while all unanswered ones are idempotent, handles them at once and writes the answers in their order. A request that must not run twice runs when all before it are answered, and nothing behind it is read.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -127,6 +127,14 @@
         )?)
     }
 
+    /// Returns whether a request may run more than once; one without a route never runs.
+    pub(crate) fn is_idempotent(&self, request: &ClientRequest) -> bool {
+        let view = self.state.view.load();
+        let host = request.head.headers.get("host").unwrap_or_default();
+        let route = view.routes.find(host, &request.head.target);
+        route.is_none_or(|route| route.rule().kind.is_idempotent())
+    }
+
     /// Returns the answer to a request; `is_client_gone` says whether its client has
     /// disconnected.
     ///
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -21,6 +21,8 @@
 mod adapter;
 mod answer;
 mod budgets;
+mod client_connection;
+mod client_reader;
 mod clients;
 mod counted_store;
 mod dispatch;
