Balance keys one by one, and only away from upstreams that have too much

With 480 ranges, which a large service reaches by its size alone, no range was split any more. Two steps of the ledger were quadratic in ranges and upstreams.

Change: loads are counted by key, with sums for range queries; hosts count sparsely. Where the capacity in requests a second is known (slots and speed, and the measured service time), an upstream gives keys away above 0.75 of it and takes them up to 0.6. A key that needs 0.4 of an average upstream is placed on a strong one. The number of ranges is bounded by the row's bytes.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -8,7 +8,7 @@
 use crate::request::{ClientRequest, ResolvedRequest};
 use crate::view::{FrontView, SharedView};
 use fleet::{KnownUpstream, Presence, UpstreamEntry};
-use grant::{KeyLoads, OwnedRange};
+use grant::{KeyCounts, OwnedRange};
 use indexmap::IndexMap;
 use kernel::{Cause, Clock, DomainName, Moment, Refusal, ServiceName, UpstreamId, Verdict};
 use log::{debug, info};
@@ -53,7 +53,7 @@
     pub exchanger: Exchanger,
     pub budgets: RetryBudgets,
     pub quarantine: Mutex<QuarantineList>,
-    pub key_loads: Mutex<IndexMap<ServiceName, KeyLoads>>,
+    pub key_counts: Mutex<IndexMap<ServiceName, KeyCounts>>,
     pub clock: Arc<dyn Clock>,
     pub domain: DomainName,
     pub bounds: SharedBounds,
@@ -160,15 +160,15 @@
         let Some(key) = request.key else {
             return;
         };
-        let mut loads = self.state.key_loads.lock();
-        if let Some(loads) = loads.get_mut(&request.service) {
-            loads.record(key, 1.0);
+        let mut key_counts = self.state.key_counts.lock();
+        if let Some(counts) = key_counts.get_mut(&request.service) {
+            counts.record(key);
             return;
         }
-        loads
+        key_counts
             .entry(request.service.clone())
             .or_default()
-            .record(key, 1.0);
+            .record(key);
     }
 
     async fn send_with_retries(
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -1,6 +1,8 @@
 //! Start, reload and stop of a front host.
 
-use crate::adapter::{FrontBounds, FrontSettings, LoadedPlatform, SharedBounds, UserPlatform};
+use crate::adapter::{
+    FrontBounds, FrontSettings, LoadedPlatform, SharedBounds, UserPlatform, is_strong,
+};
 use crate::budgets::RetryBudgets;
 use crate::clients::ClientServer;
 use crate::counted_store::CountedStore;
@@ -15,6 +17,7 @@
 use crate::random::RandomSource;
 use crate::replica::{FollowedTable, StoreReplica, TableFollower, poll_owners};
 use crate::reports::ReportChannel;
+use crate::send_budget::SendBudget;
 use crate::view::SharedView;
 use arc_swap::ArcSwap;
 use async_std::net::{TcpListener, UdpSocket};
@@ -202,7 +205,7 @@
                 },
                 budgets: RetryBudgets::new(Arc::clone(&self.bounds)),
                 quarantine: Mutex::new(QuarantineList::new(SUSPECT_DURATION)),
-                key_loads: Mutex::new(IndexMap::new()),
+                key_counts: Mutex::new(IndexMap::new()),
                 clock: Arc::clone(&self.clock),
                 domain: self.settings.domain.clone(),
                 bounds: Arc::clone(&self.bounds),
@@ -237,6 +240,7 @@
                 store: Arc::clone(&store),
                 peers: Arc::clone(&self.peers),
                 bounds: Arc::clone(&self.bounds),
+                is_strong: is_strong(self.settings.strength()),
                 table,
                 name,
             };
@@ -305,6 +309,7 @@
             dispatcher: dispatcher.clone(),
             host: context.settings.name.clone(),
             strength: context.settings.strength(),
+            budget: Arc::new(SendBudget::new(context.settings.link_mbps)),
         };
         scope.spawn(report_channel.clone().send_reports());
         scope.spawn(report_channel.clone().receive());
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -422,38 +422,29 @@
     fn candidates(&mut self, now: Moment, service: &ServiceName) -> Vec<OwnerCandidate> {
         let dispatch = &self.context.dispatcher.state;
         let view = dispatch.view.load();
-        let mut measured = Vec::new();
+        let mean_service_time = dispatch.selector.lock().mean_service_time(service);
+        let mut candidates = Vec::new();
         for id in view.by_service.get(service).into_iter().flatten() {
             let Some(known) = view.upstreams.get(id) else {
                 continue;
             };
-            let holder = Holder {
-                upstream: id.clone(),
-                run: known.entry.started_at_ms,
-            };
-            if known.is_listed() || known.accepts_requests(now) {
-                let slowness = self.context.peers.slowness(id.as_str()).unwrap_or(0.0);
-                measured.push((holder, known.entry.slots, known.is_listed(), slowness));
+            if !known.is_listed() && !known.accepts_requests(now) {
+                continue;
             }
-        }
-        let timed = measured.iter().filter(|(.., slowness)| *slowness > 0.0);
-        let count = timed.clone().count().max(1) as f64;
-        let average = timed.map(|(.., slowness)| slowness).sum::<f64>() / count;
-        let candidates = measured
-            .into_iter()
-            .map(|(holder, slots, accepts_keys, slowness)| {
-                let speed = if slowness > 0.0 {
-                    average / slowness
-                } else {
-                    1.0
-                };
-                OwnerCandidate {
-                    holder,
-                    capacity: f64::from(slots.max(1))
-                        * speed.clamp(RELATIVE_SPEED_RANGE.0, RELATIVE_SPEED_RANGE.1),
-                    accepts_keys,
-                }
+            let slowness = self.context.peers.slowness(id.as_str()).unwrap_or(1.0);
+            let (min, max) = RELATIVE_SPEED_RANGE;
+            let speed = (1.0 / slowness).clamp(min, max);
+            let capacity = f64::from(known.entry.slots.max(1)) * speed;
+            candidates.push(OwnerCandidate {
+                holder: Holder {
+                    upstream: id.clone(),
+                    run: known.entry.started_at_ms,
+                },
+                capacity,
+                max_rate: mean_service_time.map(|time| capacity / time.as_secs_f64().max(1e-6)),
+                accepts_keys: known.is_listed(),
             });
-        candidates.collect()
+        }
+        candidates
     }
 }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -28,9 +28,9 @@
 const LOADS_REFRESH_INTERVAL: Duration = Duration::from_millis(700);
 /// Half-life of the load on keys: long enough to even out random variation, short
 /// enough to follow a key that becomes hot.
-const LOAD_HALF_LIFE: Duration = Duration::from_secs(3);
+const LOAD_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Minimum time between two decays of the load on keys.
-const MIN_DECAY_INTERVAL: Duration = Duration::from_millis(175);
+const MIN_DECAY_INTERVAL: Duration = Duration::from_millis(350);
 
 /// A live host as the leader sees it.
 #[derive(Clone, Debug)]
@@ -115,6 +115,8 @@
     /// Addresses of all hosts, as the leader sent them to this standby.
     host_addresses: Vec<SocketAddr>,
     loads: IndexMap<ServiceName, KeyLoads>,
+    /// Copies of `loads` since the last decay.
+    load_snapshots: IndexMap<ServiceName, Arc<KeyLoads>>,
     fleet_loads: FleetLoads,
     /// Recent loads, when the list was computed, and where in it replies start.
     recent_loads: Vec<WireLoad>,
@@ -151,6 +153,7 @@
                 hosts: IndexMap::new(),
                 host_addresses: Vec::new(),
                 loads: IndexMap::new(),
+                load_snapshots: IndexMap::new(),
                 fleet_loads: FleetLoads::default(),
                 recent_loads: Vec::new(),
                 loads_updated_at: Moment::ZERO,
@@ -408,7 +411,7 @@
     }
 
     /// Returns the load on a service's keys.
-    pub(crate) fn loads(&self, service: &ServiceName) -> KeyLoads {
+    pub(crate) fn loads(&self, service: &ServiceName) -> Arc<KeyLoads> {
         let now = self.clock.now();
         let mut state = self.state.lock();
         let elapsed = now - state.decayed_at;
@@ -417,8 +420,15 @@
                 loads.decay(elapsed, LOAD_HALF_LIFE);
             }
             state.decayed_at = now;
+            state.load_snapshots.clear();
         }
-        state.loads.get(service).cloned().unwrap_or_default()
+        if let Some(snapshot) = state.load_snapshots.get(service) {
+            return Arc::clone(snapshot);
+        }
+        let snapshot = Arc::new(state.loads.get(service).cloned().unwrap_or_default());
+        let stored = Arc::clone(&snapshot);
+        state.load_snapshots.insert(service.clone(), stored);
+        snapshot
     }
 
     /// Returns whether this host leads.
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -12,6 +12,7 @@
 };
 use crate::peers::PeerRegistry;
 use crate::replica::StoreReplica;
+use crate::send_budget::SendBudget;
 use async_std::net::UdpSocket;
 use fleet::EntryChange;
 use grant::PreviousTerm;
@@ -49,6 +50,7 @@
     pub dispatcher: Dispatcher,
     pub host: String,
     pub strength: u32,
+    pub budget: Arc<SendBudget>,
 }
 
 impl ReportChannel {
@@ -99,17 +101,16 @@
     }
 
     async fn announce_to_all(&self, term: u64, term_end: Option<TermEnd<'_>>) {
-        let announced = KnownVersions {
-            owners: self.replica.owner_versions(),
-            entries: self.replica.last_entry_version(),
-            sheet: self.replica.sheet_version(),
-        };
+        let announced = self.told_versions();
         let mut targets = self.peers.begin_announcement(&announced);
         let own_address = self.socket.local_addr().ok();
         targets.retain(|(address, _)| Some(*address) != own_address);
         // Most hosts know the same versions, so the last encoding is reused.
         let mut cached: Option<(KnownVersions, Vec<Vec<u8>>)> = None;
-        for (address, known) in targets {
+        for (address, mut known) in targets {
+            if !self.has_send_room() {
+                known.clone_from(&announced);
+            }
             let datagrams = match cached.take() {
                 Some((cached_known, datagrams)) if cached_known == known => datagrams,
                 _ => encode_all(self.replies(term, term_end, &known, false, Vec::new())),
@@ -121,6 +122,21 @@
         }
     }
 
+    /// Returns the versions that a host knows once it has been told everything.
+    fn told_versions(&self) -> KnownVersions {
+        KnownVersions {
+            owners: self.replica.owner_versions(),
+            entries: self.replica.last_entry_version(),
+            sheet: self.replica.sheet_version(),
+        }
+    }
+
+    /// Returns whether the link has room for more than the shortest messages. Hosts that
+    /// are told less report again what they lack.
+    fn has_send_room(&self) -> bool {
+        self.budget.has_room(self.dispatcher.state.clock.now())
+    }
+
     /// Returns the messages for a host that knows the versions `known`; entries that do
     /// not fit one message follow in further ones.
     fn replies(
@@ -205,11 +221,8 @@
     fn report(&self) -> HostReport {
         let state = &self.dispatcher.state;
         let mut loads = Vec::new();
-        for (service, counts) in state.key_loads.lock().iter_mut() {
-            let mut keys = counts.drain();
-            keys.sort_by(|(_, a), (_, b)| b.total_cmp(a));
-            keys.truncate(MAX_REPORTED_KEYS);
-            loads.push((service.clone(), keys));
+        for (service, counts) in state.key_counts.lock().iter_mut() {
+            loads.push((service.clone(), counts.drain(MAX_REPORTED_KEYS)));
         }
         let observed_loads = state.selector.lock().drain_observations();
         HostReport {
@@ -262,6 +275,7 @@
     }
 
     async fn send(&self, bytes: &[u8], peer: SocketAddr) {
+        self.budget.spend(bytes.len());
         if let Err(error) = self.socket.send_to(bytes, peer).await {
             debug!(target: "peers", "peer={peer} message not sent: {error}");
         }
@@ -289,8 +303,12 @@
                     if let Some(term) = self.peers.leading_term() {
                         let is_for_standby = self.peers.standbys().contains(&report.host);
                         let fleet_loads = self.peers.next_fleet_loads();
-                        let replies =
-                            self.replies(term, None, &report.known, is_for_standby, fleet_loads);
+                        let known = if self.has_send_room() {
+                            report.known
+                        } else {
+                            self.told_versions()
+                        };
+                        let replies = self.replies(term, None, &known, is_for_standby, fleet_loads);
                         for bytes in encode_all(replies) {
                             self.send(&bytes, peer).await;
                         }
@@ -301,9 +319,6 @@
                         continue;
                     }
                     self.apply_sheet(&reply);
-                    if !reply.is_feed_live {
-                        self.replica.record_leader_outage();
-                    }
                     self.apply_suspects(&reply.suspects);
                     self.dispatcher
                         .state
--- a/crates/grant/src/balance.rs
+++ b/crates/grant/src/balance.rs
@@ -1,24 +1,35 @@
 //! Assignment of key ranges to upstreams.
 //!
-//! Evens out the load of the keys: each upstream is meant to have the share of all load
-//! that its capacity (slots times speed) is of the total capacity. Orphaned keys are
-//! spread over the upstreams with the most headroom. Keys that are too hot for any
-//! upstream, and cannot be split, go to the strongest upstreams, which give all their
-//! other keys away; the remaining keys are balanced among the other upstreams by the
-//! same rules.
+//! Each upstream is meant to have the share of all load that its capacity (slots times
+//! speed) is of the total capacity. As moving keys has a cost, keys move only away from
+//! upstreams that have more load than they can do: where the upstreams' capacity in
+//! requests a second is known, an uneven load that fits is left alone.
+//!
+//! Orphaned keys are spread over the upstreams with the most headroom. Popular keys that
+//! need most of an upstream for themselves go to the strongest ones. Popular keys that
+//! are adjacent are spread one by one over as many upstreams as their load needs.
 
 use crate::{Holder, KEY_COUNT, KeyLoads, OwnedRange, OwnerMap};
+use indexmap::IndexMap;
 use kernel::UpstreamId;
 
 /// Ratio of load to fair share above which an upstream gives keys away; at a lower
 /// ratio moving keys costs more than it brings.
 const OVERLOAD_RATIO: f64 = 1.25;
-/// Ratio of load to fair share below which an upstream receives keys from overloaded
-/// ones.
+/// Part of its capacity above which an upstream gives keys away; above it requests wait
+/// for a slot more often than not.
+const MAX_UTILIZATION: f64 = 0.75;
+/// Part of its capacity up to which an upstream receives keys, or keeps those that it
+/// has.
+const TARGET_UTILIZATION: f64 = 0.6;
+/// Part of its limit below which an upstream receives keys from overloaded ones.
 const RECEIVER_RATIO: f64 = 0.9;
 /// Ratio of load to fair share below which an upstream receives keys from any upstream
-/// that is above its fair share.
+/// that is above its fair share, while the capacities are unknown.
 const IDLE_RATIO: f64 = 0.6;
+/// The same ratio while the capacities are known: only an upstream that has just joined
+/// has so little load.
+const KNOWN_IDLE_RATIO: f64 = 0.25;
 /// Smallest fraction of the receiver's fair share that is worth a move.
 const MIN_MOVE_FRACTION: f64 = 0.04;
 /// Lower bound of the limit on moves for balance in one step.
@@ -26,20 +37,25 @@
 /// Fraction of the upstreams that may be moving keys for balance at a time; requests
 /// for these keys wait until running work has ended.
 const MAX_MOVING_FRACTION: f64 = 0.12;
-/// Maximum number of hot buckets that are given upstreams of their own at a time.
-const MAX_HOT_BUCKETS: usize = 21;
-/// Maximum fraction of the upstreams that serve only a hot bucket.
+/// Part of an average upstream's capacity from which a single key counts as hot.
+const HOT_UTILIZATION: f64 = 0.4;
+/// Maximum fraction of the upstreams that serve a hot key each.
 const MAX_HOT_UPSTREAM_FRACTION: f64 = 0.34;
-/// Ratio of capacities above which a hot bucket moves to a stronger upstream.
+/// Ratio of capacities above which a hot key moves to a stronger upstream.
 const MIN_HOT_CAPACITY_RATIO: f64 = 1.25;
 /// Maximum number of pieces that an orphaned range is split into.
 const MAX_ORPHAN_PIECES: usize = 4;
 /// Number of ranges per upstream above which no range is split for balance; each range
 /// is renewed by a call of its own.
 const MAX_RANGES_PER_UPSTREAM: usize = 3;
+/// Number of ranges that a small service may have beyond that.
+const EXTRA_RANGES: usize = 42;
 /// Number of ranges above which none is split at all; the row that holds them is
-/// limited to 64 KB in base64, and a moving range takes up to 90 bytes.
-const MAX_RANGES: usize = 480;
+/// limited to 64 KB in base64, and a range takes 16 bytes and 10 for each earlier
+/// holder.
+const MAX_RANGES: usize = 900;
+/// Size of a row, in bytes, above which no range is split.
+const MAX_ROW_BYTES: usize = 34 << 10;
 
 /// An upstream that may be given keys.
 #[derive(Clone, Debug, PartialEq)]
@@ -48,6 +64,8 @@
     pub holder: Holder,
     /// Number of its slots times its relative speed.
     pub capacity: f64,
+    /// Requests a second that it can do, if known.
+    pub max_rate: Option<f64>,
     /// Whether it may receive more keys; otherwise it only keeps those it has.
     pub accepts_keys: bool,
 }
@@ -61,78 +79,80 @@
                 run,
             },
             capacity,
+            max_rate: None,
             accepts_keys: true,
         }
     }
 }
 
-/// Fair and current shares of load of the candidates.
+/// Fair and current shares of load of the candidates, as fractions of all load.
 #[derive(Debug)]
 struct ShareTable {
-    rows: Vec<ShareRow>,
-    /// Fraction of all load that is not on hot buckets; the shares in `rows` are
-    /// fractions of it.
-    non_hot_share: f64,
+    rows: IndexMap<Holder, ShareRow>,
 }
 
 #[derive(Debug)]
 struct ShareRow {
-    holder: Holder,
-    fair_share: f64,
-    current_share: f64,
+    fair: f64,
+    /// Share of the load that takes all of its capacity, if known.
+    full: Option<f64>,
+    current: f64,
 }
 
-/// A bucket of keys that is too hot for any upstream, and the upstream that is to serve
-/// it.
+/// A key that needs most of an upstream, and the upstream that is to serve it.
 #[derive(Clone, Debug, PartialEq)]
-struct HotBucket {
-    first: u16,
-    last: u16,
+struct HotKey {
+    key: u16,
     share: f64,
     holder: Holder,
 }
 
 impl ShareTable {
-    /// Builds the table without the load of hot buckets; the upstreams that serve hot
-    /// buckets have a fair share of zero.
+    /// Builds the table; the upstreams that serve hot keys have a fair share of zero.
     fn new(
         candidates: &[OwnerCandidate],
         map: &OwnerMap,
         loads: &KeyLoads,
-        hot_buckets: &[HotBucket],
+        hot_keys: &[HotKey],
     ) -> Self {
-        let serves_hot_bucket = |holder: &Holder| {
-            hot_buckets
-                .iter()
-                .any(|hot_bucket| hot_bucket.holder == *holder)
-        };
+        let hot_shares: IndexMap<&Holder, f64> = hot_keys
+            .iter()
+            .map(|hot| (&hot.holder, hot.share))
+            .collect();
         let receivers = candidates.iter().filter(|candidate| candidate.accepts_keys);
         let sharing = receivers
             .clone()
-            .filter(|candidate| !serves_hot_bucket(&candidate.holder));
+            .filter(|candidate| !hot_shares.contains_key(&candidate.holder));
         let sharing_capacity: f64 = sharing.map(|candidate| candidate.capacity).sum();
-        let rows = receivers.map(|candidate| ShareRow {
-            fair_share: if serves_hot_bucket(&candidate.holder) {
-                0.0
-            } else {
-                candidate.capacity / sharing_capacity.max(f64::MIN_POSITIVE)
-            },
-            holder: candidate.holder.clone(),
-            current_share: 0.0,
+        let hot_share: f64 = hot_keys.iter().map(|hot| hot.share).sum();
+        let non_hot_share = (1.0 - hot_share).max(0.01);
+        let rows = receivers.map(|candidate| {
+            let hot_share = hot_shares.get(&candidate.holder);
+            let full = full_share(candidate, loads);
+            let row = ShareRow {
+                fair: match hot_share {
+                    Some(_) => 0.0,
+                    None => {
+                        candidate.capacity / sharing_capacity.max(f64::MIN_POSITIVE) * non_hot_share
+                    }
+                },
+                full,
+                // Where the capacity is known, a hot key takes its part of it.
+                current: full.and(hot_share.copied()).unwrap_or_default(),
+            };
+            (candidate.holder.clone(), row)
         });
-        let hot_share: f64 = hot_buckets.iter().map(|hot_bucket| hot_bucket.share).sum();
         let mut table = Self {
             rows: rows.collect(),
-            non_hot_share: (1.0 - hot_share).max(0.01),
         };
         for range in &map.ranges {
             let Some(owner) = &range.owner else {
                 continue;
             };
             let mut share = loads.share(range.first, range.last);
-            for hot_bucket in hot_buckets {
-                if range.first <= hot_bucket.first && hot_bucket.last <= range.last {
-                    share -= hot_bucket.share;
+            for hot in hot_keys {
+                if (range.first..=range.last).contains(&hot.key) {
+                    share -= hot.share;
                 }
             }
             table.add(owner, share.max(0.0));
@@ -143,68 +163,105 @@
     /// Adds a share of all load to an upstream; ignores upstreams that are not in the
     /// table.
     fn add(&mut self, holder: &Holder, share: f64) {
-        let table_share = share / self.non_hot_share;
-        if let Some(row) = self.rows.iter_mut().find(|row| row.holder == *holder) {
-            row.current_share += table_share;
+        if let Some(row) = self.rows.get_mut(holder) {
+            row.current += share;
         }
     }
 
-    /// Returns the row that is furthest below its fair share.
-    fn furthest_below_fair_share(&self) -> Option<&ShareRow> {
-        let by_headroom = |a: &&ShareRow, b: &&ShareRow| {
-            let headroom_a = a.fair_share - a.current_share;
-            headroom_a.total_cmp(&(b.fair_share - b.current_share))
-        };
-        self.rows.iter().max_by(by_headroom)
+    /// Returns the upstream with the most headroom.
+    fn most_headroom(&self) -> Option<(&Holder, &ShareRow)> {
+        let rows = self.rows.iter();
+        rows.max_by(|(_, a), (_, b)| a.headroom().total_cmp(&b.headroom()))
+    }
+
+    /// Returns the upstream that is furthest below its fair share.
+    fn furthest_below_fair_share(&self) -> Option<(&Holder, &ShareRow)> {
+        let distance = |row: &ShareRow| row.fair - row.current;
+        let rows = self.rows.iter();
+        rows.max_by(|(_, a), (_, b)| distance(a).total_cmp(&distance(b)))
     }
 
-    /// Returns the rows in descending order of load ratio.
-    fn by_load_ratio(&self) -> Vec<&ShareRow> {
-        let mut rows: Vec<&ShareRow> = self.rows.iter().collect();
-        rows.sort_by(|a, b| b.load_ratio().total_cmp(&a.load_ratio()));
+    /// Returns the upstreams in descending order of load relative to their limits.
+    fn by_load_ratio(&self) -> Vec<(&Holder, &ShareRow)> {
+        let mut rows: Vec<(&Holder, &ShareRow)> = self.rows.iter().collect();
+        rows.sort_by(|(_, a), (_, b)| b.load_ratio().total_cmp(&a.load_ratio()));
         rows
     }
 }
 
 impl ShareRow {
-    /// Returns the current share divided by the fair one.
+    /// Returns the share above which the upstream gives keys away.
+    fn give_limit(&self) -> f64 {
+        let by_capacity = self.full.map_or(0.0, |full| full * MAX_UTILIZATION);
+        by_capacity.max(self.fair * OVERLOAD_RATIO)
+    }
+
+    /// Returns the share up to which the upstream takes keys, and to which it gives
+    /// keys away.
+    fn target(&self) -> f64 {
+        let by_capacity = self.full.map_or(0.0, |full| full * TARGET_UTILIZATION);
+        by_capacity.max(self.fair)
+    }
+
+    fn headroom(&self) -> f64 {
+        self.target() - self.current
+    }
+
+    /// Returns the current share divided by the one above which keys are given away.
     fn load_ratio(&self) -> f64 {
-        self.current_share / self.fair_share.max(1e-3)
+        self.current / self.give_limit().max(1e-6)
+    }
+
+    /// Returns whether the upstream has so little load that it gets keys from any other.
+    fn is_idle(&self) -> bool {
+        let ratio = match self.full {
+            Some(_) => KNOWN_IDLE_RATIO,
+            None => IDLE_RATIO,
+        };
+        self.current < self.fair * ratio
     }
 }
 
-/// Finds buckets that are too hot for any upstream and chooses the upstreams to serve
-/// them.
-fn assign_hot_buckets(
-    candidates: &[OwnerCandidate],
-    map: &OwnerMap,
-    loads: &KeyLoads,
-) -> Vec<HotBucket> {
+/// Returns the share of all load that takes all of an upstream's capacity, if known.
+fn full_share(candidate: &OwnerCandidate, loads: &KeyLoads) -> Option<f64> {
+    let rate = loads.rate().filter(|rate| *rate > 0.0)?;
+    Some(candidate.max_rate? / rate)
+}
+
+/// Finds keys that need most of an upstream and chooses the upstreams to serve them.
+fn assign_hot_keys(candidates: &[OwnerCandidate], map: &OwnerMap, loads: &KeyLoads) -> Vec<HotKey> {
     let receivers: Vec<&OwnerCandidate> = candidates.iter().filter(|c| c.accepts_keys).collect();
     let mut strongest = receivers.clone();
     strongest.sort_by(|a, b| b.capacity.total_cmp(&a.capacity));
-    let max_buckets =
-        MAX_HOT_BUCKETS.min((receivers.len() as f64 * MAX_HOT_UPSTREAM_FRACTION) as usize);
+    let max_keys = (receivers.len() as f64 * MAX_HOT_UPSTREAM_FRACTION) as usize;
+    let full_shares = receivers
+        .iter()
+        .map(|candidate| full_share(candidate, loads));
+    let mean_full_share: Option<f64> = full_shares
+        .sum::<Option<f64>>()
+        .map(|sum| sum / receivers.len().max(1) as f64);
     let mut free_capacity: f64 = receivers.iter().map(|candidate| candidate.capacity).sum();
     let mut non_hot_share = 1.0;
-    let mut hot_buckets: Vec<HotBucket> = Vec::new();
-    for (first, last, share) in loads.hottest_buckets(max_buckets) {
+    let mut hot_keys: Vec<HotKey> = Vec::new();
+    for (key, share) in loads.hottest_keys(max_keys) {
         let is_free = |candidate: &&&OwnerCandidate| {
-            !hot_buckets
-                .iter()
-                .any(|hot_bucket| hot_bucket.holder == candidate.holder)
+            !hot_keys.iter().any(|hot| hot.holder == candidate.holder)
         };
         let Some(strongest_free) = strongest.iter().find(is_free) else {
             break;
         };
-        if share / non_hot_share < strongest_free.capacity / free_capacity {
+        let is_hot = match mean_full_share {
+            Some(full_share) => share >= full_share * HOT_UTILIZATION,
+            None => share / non_hot_share >= strongest_free.capacity / free_capacity,
+        };
+        if !is_hot {
             break;
         }
-        let owner = map.range_of(first).and_then(|range| range.owner.as_ref());
+        let owner = map.range_of(key).and_then(|range| range.owner.as_ref());
         let current_owner = receivers
             .iter()
             .find(|candidate| Some(&candidate.holder) == owner);
-        // A hot bucket stays where it is unless another upstream is clearly stronger.
+        // A hot key stays where it is unless another upstream is clearly stronger.
         let chosen = match current_owner.filter(is_free) {
             Some(current_owner)
                 if current_owner.capacity * MIN_HOT_CAPACITY_RATIO >= strongest_free.capacity =>
@@ -215,14 +272,13 @@
         };
         non_hot_share -= share;
         free_capacity -= chosen.capacity;
-        hot_buckets.push(HotBucket {
-            first,
-            last,
+        hot_keys.push(HotKey {
+            key,
             share,
             holder: chosen.holder.clone(),
         });
     }
-    hot_buckets
+    hot_keys
 }
 
 /// Assigns every range without a valid owner to one of the candidates; returns whether
@@ -239,6 +295,10 @@
     if !candidates.iter().any(|candidate| candidate.accepts_keys) {
         return false;
     }
+    let is_orphan = |range: &OwnedRange| !range.owner.as_ref().is_some_and(is_valid);
+    if !map.ranges.is_empty() && !map.ranges.iter().any(is_orphan) {
+        return false;
+    }
     if map.ranges.is_empty() {
         map.ranges.push(OwnedRange {
             first: 0,
@@ -254,7 +314,7 @@
     let mut ranges = Vec::with_capacity(map.ranges.len());
     let mut is_changed = false;
     for range in map.ranges.drain(..) {
-        if range.owner.as_ref().is_some_and(is_valid) {
+        if !is_orphan(&range) {
             ranges.push(range);
             continue;
         }
@@ -287,12 +347,12 @@
 
 /// Returns whether a range may be split for balance.
 fn may_split(map: &OwnerMap, upstreams: usize) -> bool {
-    map.ranges.len() < max_ranges(upstreams)
+    map.ranges.len() < max_ranges(upstreams) && map.estimate_row_bytes() < MAX_ROW_BYTES
 }
 
 /// Returns the number of ranges above which none is split for balance.
 fn max_ranges(upstreams: usize) -> usize {
-    MAX_RANGES.min(upstreams * MAX_RANGES_PER_UPSTREAM + MAX_HOT_BUCKETS * 2)
+    MAX_RANGES.min(upstreams * MAX_RANGES_PER_UPSTREAM + EXTRA_RANGES)
 }
 
 /// Merges adjacent granted ranges of one owner; returns whether any were merged.
@@ -346,11 +406,11 @@
     let previous_holders = range.possible_holders();
     let mut first = range.first;
     for piece in 1..=max_pieces {
-        let Some(row) = table.furthest_below_fair_share() else {
+        let Some((holder, row)) = table.most_headroom() else {
             return;
         };
-        let headroom = row.fair_share - row.current_share;
-        let holder = row.holder.clone();
+        let headroom = row.headroom();
+        let holder = holder.clone();
         let prefix_last = if piece == max_pieces || headroom <= 0.0 {
             None
         } else {
@@ -373,8 +433,8 @@
     }
 }
 
-/// Moves hot buckets to the strongest upstreams and other keys away from overloaded
-/// ones; returns whether anything changed.
+/// Moves hot keys to the strongest upstreams and other keys away from overloaded ones;
+/// returns whether anything changed.
 ///
 /// Only ranges whose grant is known to have been accepted are touched.
 pub(crate) fn rebalance(
@@ -383,16 +443,19 @@
     loads: &KeyLoads,
     next_epoch: &mut dyn FnMut() -> u64,
 ) -> bool {
-    let hot_buckets = assign_hot_buckets(candidates, map, loads);
+    let hot_keys = assign_hot_keys(candidates, map, loads);
     let mut is_changed = false;
-    for hot_bucket in &hot_buckets {
-        is_changed |= move_hot_bucket(map, hot_bucket, next_epoch);
+    for hot in &hot_keys {
+        if map.ranges.len() >= MAX_RANGES || map.estimate_row_bytes() >= MAX_ROW_BYTES {
+            break;
+        }
+        is_changed |= move_hot_key(map, hot, next_epoch);
     }
-    let mut table = ShareTable::new(candidates, map, loads, &hot_buckets);
+    let mut table = ShareTable::new(candidates, map, loads, &hot_keys);
     let move_limit = max_moves(candidates.len());
     let mut move_count = 0;
     while move_count < move_limit {
-        let last_move = move_once(map, &table, loads, &hot_buckets, next_epoch);
+        let last_move = move_once(map, &table, loads, &hot_keys, next_epoch);
         let Some((from, to, share)) = last_move else {
             break;
         };
@@ -404,28 +467,16 @@
     is_changed
 }
 
-/// Moves a hot bucket to the upstream that is to serve it; returns whether it moved.
-fn move_hot_bucket(
-    map: &mut OwnerMap,
-    hot_bucket: &HotBucket,
-    next_epoch: &mut dyn FnMut() -> u64,
-) -> bool {
-    let contains_bucket =
-        |range: &OwnedRange| range.first <= hot_bucket.first && hot_bucket.last <= range.last;
-    let Some(index) = map.ranges.iter().position(contains_bucket) else {
+/// Moves a hot key to the upstream that is to serve it; returns whether it moved.
+fn move_hot_key(map: &mut OwnerMap, hot: &HotKey, next_epoch: &mut dyn FnMut() -> u64) -> bool {
+    let Some(index) = map.index_of(hot.key) else {
         return false;
     };
     let range = &map.ranges[index];
-    if !range.is_granted || range.owner.as_ref() == Some(&hot_bucket.holder) {
+    if !range.is_granted || range.owner.as_ref() == Some(&hot.holder) {
         return false;
     }
-    reassign_keys(
-        map,
-        index,
-        (hot_bucket.first, hot_bucket.last),
-        &hot_bucket.holder,
-        next_epoch,
-    );
+    reassign_keys(map, index, (hot.key, hot.key), &hot.holder, next_epoch);
     true
 }
 
@@ -435,38 +486,41 @@
     map: &mut OwnerMap,
     table: &ShareTable,
     loads: &KeyLoads,
-    hot_buckets: &[HotBucket],
+    hot_keys: &[HotKey],
     next_epoch: &mut dyn FnMut() -> u64,
 ) -> Option<(Holder, Holder, f64)> {
-    let to = table.furthest_below_fair_share()?;
-    let headroom = to.fair_share - to.current_share;
-    for from in table.by_load_ratio() {
-        let excess = from.current_share - from.fair_share;
-        let is_imbalanced = from.current_share > from.fair_share * OVERLOAD_RATIO
-            && to.current_share < to.fair_share * RECEIVER_RATIO;
+    let idle = table
+        .furthest_below_fair_share()
+        .filter(|(_, row)| row.is_idle());
+    let (to_holder, to) = idle.or_else(|| table.most_headroom())?;
+    for (from_holder, from) in table.by_load_ratio() {
+        let is_overloaded =
+            from.current > from.give_limit() && to.current < to.target() * RECEIVER_RATIO;
         // An upstream that has just joined gets its share even if each of the others
         // has only a little too much.
-        let is_idle = to.current_share < to.fair_share * IDLE_RATIO && excess > 0.0;
-        if !is_imbalanced && !is_idle {
-            return None;
-        }
-        let wanted_share = excess.min(headroom) * table.non_hot_share;
-        let min_share = to.fair_share * MIN_MOVE_FRACTION * table.non_hot_share;
+        let wanted_share = if is_overloaded {
+            (from.current - from.target()).min(to.headroom())
+        } else if idle.is_some() && from.current > from.fair {
+            (from.current - from.fair).min(to.fair - to.current)
+        } else {
+            continue;
+        };
+        let min_share = to.fair * MIN_MOVE_FRACTION;
         let may_split = may_split(map, table.rows.len());
         let piece = find_piece(
             map,
-            &from.holder,
+            from_holder,
             (wanted_share, min_share),
             loads,
-            hot_buckets,
+            hot_keys,
             may_split,
         );
         // The remaining keys of a busy upstream may be too hot to move.
         let Some((index, keys, share)) = piece else {
             continue;
         };
-        reassign_keys(map, index, keys, &to.holder, next_epoch);
-        return Some((from.holder.clone(), to.holder.clone(), share));
+        reassign_keys(map, index, keys, to_holder, next_epoch);
+        return Some((from_holder.clone(), to_holder.clone(), share));
     }
     None
 }
@@ -479,7 +533,7 @@
     from: &Holder,
     (wanted_share, min_share): (f64, f64),
     loads: &KeyLoads,
-    hot_buckets: &[HotBucket],
+    hot_keys: &[HotKey],
     may_split: bool,
 ) -> Option<(usize, (u16, u16), f64)> {
     let mut best: Option<(usize, (u16, u16), f64)> = None;
@@ -497,10 +551,10 @@
         let split_pieces = [prefix, suffix].into_iter().flatten().filter(|_| may_split);
         for keys in split_pieces.chain([whole_range]) {
             let share = loads.share(keys.0, keys.1);
-            let overlaps_hot_bucket = hot_buckets
+            let has_hot_key = hot_keys
                 .iter()
-                .any(|hot_bucket| keys.0 <= hot_bucket.last && hot_bucket.first <= keys.1);
-            if overlaps_hot_bucket
+                .any(|hot| (keys.0..=keys.1).contains(&hot.key));
+            if has_hot_key
                 || share > wanted_share * 1.1
                 || best.is_some_and(|(.., best_share)| share <= best_share)
             {
--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -3,7 +3,7 @@
 
 use crate::balance::{OwnerCandidate, assign_orphans, max_moves, merge_adjacent_ranges, rebalance};
 use crate::{GrantTiming, Holder, KeyLoads, OwnedRange, OwnerMap, PreviousTerm};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use kernel::Moment;
 use std::time::Duration;
 
@@ -472,7 +472,8 @@
             *last_epoch += 1;
             *last_epoch
         };
-        let is_valid = |holder: &Holder| candidates.iter().any(|known| known.holder == *holder);
+        let known: IndexSet<&Holder> = candidates.iter().map(|known| &known.holder).collect();
+        let is_valid = |holder: &Holder| known.contains(holder);
         is_changed |= assign_orphans(&mut planned, candidates, loads, &is_valid, &mut next_epoch);
         // Keys of a silent upstream may wait for seconds, so others may move meanwhile,
         // up to half of the limit.
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -34,7 +34,7 @@
 pub use balance::OwnerCandidate;
 pub use lease::{LeaderLease, LeaseClaimant, LeaseRow, PreviousTerm};
 pub use ledger::{CallKind, CallReply, GrantCall, GrantLedger, LedgerStep};
-pub use loads::KeyLoads;
+pub use loads::{KeyCounts, KeyLoads};
 pub use map::{Holder, OwnedRange, OwnerMap};
 pub use timing::GrantTiming;
 pub use wire::{OwnerRowError, WireOwners};
--- a/crates/grant/src/loads.rs
+++ b/crates/grant/src/loads.rs
@@ -1,139 +1,163 @@
 //! Load of the keys.
 
 use crate::KEY_COUNT;
+use indexmap::IndexMap;
+use std::sync::OnceLock;
 use std::time::Duration;
 
-/// Number of adjacent keys that are counted together.
-const KEYS_PER_BUCKET: u32 = 16;
-const BUCKET_COUNT: usize = (KEY_COUNT / KEYS_PER_BUCKET) as usize;
-/// Load that every bucket is assumed to have, so that keys without requests have some
-/// load; as a fraction of the average bucket.
-const PRIOR_FRACTION: f32 = 0.25;
+/// Load that every key is assumed to have, so that keys without requests have some load;
+/// as a fraction of the average key.
+const PRIOR_FRACTION: f64 = 0.25;
+/// Number of requests that all keys together are assumed to have had before any.
+const PRIOR_REQUESTS: f64 = 40.0;
 
-/// Decaying request counts by bucket of adjacent keys.
+/// Requests by key, as one host counts them between two reports.
+#[derive(Clone, Debug, Default)]
+pub struct KeyCounts {
+    requests: IndexMap<u16, f32>,
+}
+
+impl KeyCounts {
+    /// Counts one request for a key.
+    pub fn record(&mut self, key: u16) {
+        *self.requests.entry(key).or_default() += 1.0;
+    }
+
+    /// Returns the keys with requests and their counts, those with the most requests
+    /// first and `max_count` at most, and resets all counts.
+    pub fn drain(&mut self, max_count: usize) -> Vec<(u16, f32)> {
+        let mut drained: Vec<(u16, f32)> = self.requests.drain(..).collect();
+        drained.sort_by(|(_, a), (_, b)| b.total_cmp(a));
+        drained.truncate(max_count);
+        drained
+    }
+}
+
+/// Decaying request counts by key.
+///
+/// Counts are kept for single keys: popular keys are often adjacent, and only ranges of a
+/// few keys can then be spread over as many upstreams as their load needs.
 #[derive(Clone, Debug)]
 pub struct KeyLoads {
     counts: Vec<f32>,
-    total: f32,
+    total: f64,
+    half_life: Option<Duration>,
+    /// Sums of the counts of all keys before each key, built when first needed.
+    sums: OnceLock<Vec<f64>>,
 }
 
 impl Default for KeyLoads {
     fn default() -> Self {
         Self {
-            counts: vec![0.0; BUCKET_COUNT],
+            counts: vec![0.0; KEY_COUNT as usize],
             total: 0.0,
+            half_life: None,
+            sums: OnceLock::new(),
         }
     }
 }
 
 impl KeyLoads {
-    /// Adds `requests` to the bucket of `key`.
+    /// Adds `requests` to a key.
     pub fn record(&mut self, key: u16, requests: f32) {
-        self.counts[usize::from(key) / KEYS_PER_BUCKET as usize] += requests;
-        self.total += requests;
-    }
-
-    /// Returns the buckets with requests, as first key and count, and resets all
-    /// counts.
-    pub fn drain(&mut self) -> Vec<(u16, f32)> {
-        let mut drained = Vec::new();
-        for (index, count) in self.counts.iter_mut().enumerate() {
-            if *count <= 0.0 {
-                continue;
-            }
-            drained.push(((index as u32 * KEYS_PER_BUCKET) as u16, *count));
-            *count = 0.0;
-        }
-        self.total = 0.0;
-        drained
+        self.counts[usize::from(key)] += requests;
+        self.total += f64::from(requests);
+        self.sums = OnceLock::new();
     }
 
     /// Decays the counts by `elapsed` with the given half-life.
     pub fn decay(&mut self, elapsed: Duration, half_life: Duration) {
-        let factor = 0.5_f32.powf(elapsed.as_secs_f32() / half_life.as_secs_f32());
+        let factor = 0.5_f64.powf(elapsed.as_secs_f64() / half_life.as_secs_f64());
         for count in &mut self.counts {
-            *count *= factor;
+            *count *= factor as f32;
         }
         self.total *= factor;
+        self.half_life = Some(half_life);
+        self.sums = OnceLock::new();
+    }
+
+    /// Returns the requests a second for all keys, if the counts decay.
+    pub fn rate(&self) -> Option<f64> {
+        let half_life = self.half_life?;
+        Some(self.total * std::f64::consts::LN_2 / half_life.as_secs_f64())
     }
 
     /// Returns the fraction of all load that a range of keys has.
     pub fn share(&self, first: u16, last: u16) -> f64 {
-        let mut sum = 0.0;
-        let first_bucket = u32::from(first) / KEYS_PER_BUCKET;
-        let last_bucket = u32::from(last) / KEYS_PER_BUCKET;
-        for bucket_index in first_bucket..=last_bucket {
-            let bucket_first = (bucket_index * KEYS_PER_BUCKET).max(u32::from(first));
-            let bucket_last =
-                (bucket_index * KEYS_PER_BUCKET + KEYS_PER_BUCKET - 1).min(u32::from(last));
-            let part = (bucket_last - bucket_first + 1) as f32 / KEYS_PER_BUCKET as f32;
-            sum += self.bucket_count(bucket_index as usize) * part;
-        }
-        f64::from(sum / self.total_count())
+        let sums = self.sums();
+        let keys = f64::from(last) - f64::from(first) + 1.0;
+        let requests = sums[usize::from(last) + 1] - sums[usize::from(first)];
+        (requests + keys * self.prior_count()) / self.total_count()
     }
 
     /// Returns the last key of the longest prefix of a range with at most `max_share`
-    /// of all load; `None` when not even one bucket fits.
+    /// of all load; `None` when not even one key fits, or all do.
     pub fn max_prefix(&self, first: u16, last: u16, max_share: f64) -> Option<u16> {
-        let total = f64::from(self.total_count());
-        let mut sum = 0.0;
-        let mut prefix_last = None;
-        let mut bucket_index = u32::from(first) / KEYS_PER_BUCKET;
-        loop {
-            let bucket_last = bucket_index * KEYS_PER_BUCKET + KEYS_PER_BUCKET - 1;
-            sum += f64::from(self.bucket_count(bucket_index as usize)) / total;
-            if bucket_last >= u32::from(last) || sum > max_share {
-                return prefix_last;
+        let fits = |prefix_last: u16| self.share(first, prefix_last) <= max_share;
+        let (mut fitting, mut too_long) = (u32::from(first), u32::from(last));
+        if first == last || !fits(first) || fits(last) {
+            return None;
+        }
+        while too_long - fitting > 1 {
+            let middle = u32::midpoint(fitting, too_long);
+            if fits(middle as u16) {
+                fitting = middle;
+            } else {
+                too_long = middle;
             }
-            prefix_last = Some(bucket_last as u16);
-            bucket_index += 1;
         }
+        Some(fitting as u16)
     }
 
     /// Returns the first key of the longest suffix of a range with at most `max_share`
-    /// of all load; `None` when not even one bucket fits.
+    /// of all load; `None` when not even one key fits, or all do.
     pub fn max_suffix(&self, first: u16, last: u16, max_share: f64) -> Option<u16> {
-        let total = f64::from(self.total_count());
-        let mut sum = 0.0;
-        let mut suffix_first = None;
-        let mut bucket_index = u32::from(last) / KEYS_PER_BUCKET;
-        loop {
-            let bucket_first = bucket_index * KEYS_PER_BUCKET;
-            sum += f64::from(self.bucket_count(bucket_index as usize)) / total;
-            if bucket_first <= u32::from(first) || sum > max_share {
-                return suffix_first;
+        let fits = |suffix_first: u16| self.share(suffix_first, last) <= max_share;
+        let (mut too_long, mut fitting) = (u32::from(first), u32::from(last));
+        if first == last || !fits(last) || fits(first) {
+            return None;
+        }
+        while fitting - too_long > 1 {
+            let middle = u32::midpoint(too_long, fitting);
+            if fits(middle as u16) {
+                fitting = middle;
+            } else {
+                too_long = middle;
             }
-            suffix_first = Some(bucket_first as u16);
-            bucket_index -= 1;
         }
+        Some(fitting as u16)
     }
 
-    /// Returns the buckets with the most load, as first key, last key and fraction of
-    /// all load.
-    pub fn hottest_buckets(&self, count: usize) -> Vec<(u16, u16, f64)> {
-        let mut indexes: Vec<usize> = (0..BUCKET_COUNT).collect();
-        let count = count.min(BUCKET_COUNT - 1);
-        indexes.select_nth_unstable_by(count, |a, b| self.counts[*b].total_cmp(&self.counts[*a]));
-        indexes.truncate(count);
-        indexes.sort_by(|a, b| self.counts[*b].total_cmp(&self.counts[*a]));
-        let total = f64::from(self.total_count());
-        let buckets = indexes.into_iter().map(|index| {
-            let first = index as u32 * KEYS_PER_BUCKET;
-            let share = f64::from(self.bucket_count(index)) / total;
-            (first as u16, (first + KEYS_PER_BUCKET - 1) as u16, share)
-        });
-        buckets.collect()
+    /// Returns the keys with the most load, and the fraction of all load that each has.
+    pub fn hottest_keys(&self, count: usize) -> Vec<(u16, f64)> {
+        let mut keys: Vec<u16> = (0..=u16::MAX).collect();
+        let count_of = |key: &u16| self.counts[usize::from(*key)];
+        let count = count.min(keys.len() - 1);
+        keys.select_nth_unstable_by(count, |a, b| count_of(b).total_cmp(&count_of(a)));
+        keys.truncate(count);
+        keys.sort_by(|a, b| count_of(b).total_cmp(&count_of(a)));
+        let with_share = keys.into_iter().map(|key| (key, self.share(key, key)));
+        with_share.collect()
     }
 
-    fn prior_count(&self) -> f32 {
-        PRIOR_FRACTION * (self.total / BUCKET_COUNT as f32) + 0.01
+    fn sums(&self) -> &[f64] {
+        self.sums.get_or_init(|| {
+            let mut sums = Vec::with_capacity(self.counts.len() + 1);
+            let mut sum = 0.0;
+            sums.push(sum);
+            for count in &self.counts {
+                sum += f64::from(*count);
+                sums.push(sum);
+            }
+            sums
+        })
     }
 
-    fn bucket_count(&self, index: usize) -> f32 {
-        self.counts[index] + self.prior_count()
+    fn prior_count(&self) -> f64 {
+        (PRIOR_FRACTION * self.total + PRIOR_REQUESTS) / f64::from(KEY_COUNT)
     }
 
-    fn total_count(&self) -> f32 {
-        self.total + self.prior_count() * BUCKET_COUNT as f32
+    fn total_count(&self) -> f64 {
+        self.total + self.prior_count() * f64::from(KEY_COUNT)
     }
 }
--- a/crates/grant/src/map.rs
+++ b/crates/grant/src/map.rs
@@ -3,6 +3,11 @@
 use crate::KEY_COUNT;
 use kernel::UpstreamId;
 
+/// About the size of an encoded range and of its holder's name, in bytes.
+const RANGE_BYTES: usize = 30;
+/// About the size of an encoded previous holder, in bytes.
+const PREVIOUS_HOLDER_BYTES: usize = 9;
+
 /// One run of an upstream's process.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Holder {
@@ -53,8 +58,20 @@
 impl OwnerMap {
     /// Returns the range that contains `key`.
     pub fn range_of(&self, key: u16) -> Option<&OwnedRange> {
+        self.ranges.get(self.index_of(key)?)
+    }
+
+    /// Returns the index of the range that contains `key`.
+    pub(crate) fn index_of(&self, key: u16) -> Option<usize> {
         let index = self.ranges.partition_point(|range| range.last < key);
-        self.ranges.get(index).filter(|range| range.first <= key)
+        let range = self.ranges.get(index)?;
+        (range.first <= key).then_some(index)
+    }
+
+    /// Returns about how many bytes the map takes as a row of the store.
+    pub(crate) fn estimate_row_bytes(&self) -> usize {
+        let previous = self.ranges.iter().map(|range| range.previous_holders.len());
+        self.ranges.len() * RANGE_BYTES + previous.sum::<usize>() * PREVIOUS_HOLDER_BYTES
     }
 
     /// Returns the greatest epoch in use, including those of previous holders.
--- a/crates/grant/tests/balance.rs
+++ b/crates/grant/tests/balance.rs
@@ -6,6 +6,7 @@
 };
 use indexmap::IndexMap;
 use kernel::Moment;
+use rstest::rstest;
 use std::time::Duration;
 
 const STEP: Duration = Duration::from_millis(50);
@@ -80,6 +81,45 @@
         .collect()
 }
 
+/// Builds candidates that can each do `rate` requests a second at speed 1.
+fn candidates_with_rate(speeds: &[f64], rate: f64) -> Vec<OwnerCandidate> {
+    let mut candidates = candidates(speeds);
+    for (candidate, speed) in candidates.iter_mut().zip(speeds) {
+        candidate.max_rate = Some(rate * speed);
+    }
+    candidates
+}
+
+/// Builds loads of `rate` requests a second, spread evenly over all keys.
+fn even_loads(rate: f32) -> KeyLoads {
+    let mut loads = KeyLoads::default();
+    add_requests(&mut loads, (0, u16::MAX), rate);
+    // The counts of a steady rate in which half of each counts after a second.
+    loads.decay(Duration::ZERO, Duration::from_secs(1));
+    loads
+}
+
+/// Adds `rate` requests a second for some adjacent keys.
+fn add_requests(loads: &mut KeyLoads, (first, last): (u16, u16), rate: f32) {
+    let keys = f32::from(last) - f32::from(first) + 1.0;
+    for key in first..=last {
+        loads.record(key, rate / keys / std::f32::consts::LN_2);
+    }
+}
+
+/// Returns the greatest utilization of any upstream.
+fn max_utilization(map: &OwnerMap, candidates: &[OwnerCandidate], loads: &KeyLoads) -> f64 {
+    let rate = loads.rate().expect("the loads decay");
+    let mut max = 0.0_f64;
+    for candidate in candidates {
+        let ranges = map.ranges.iter();
+        let own = ranges.filter(|range| range.owner.as_ref() == Some(&candidate.holder));
+        let share: f64 = own.map(|range| loads.share(range.first, range.last)).sum();
+        max = max.max(share * rate / candidate.max_rate.expect("known"));
+    }
+    max
+}
+
 /// Busy keys close to one another, as in the users' sheets.
 fn skewed_loads() -> KeyLoads {
     let mut loads = KeyLoads::default();
@@ -140,6 +180,49 @@
     assert!(max < min * 2.0, "{load_ratios:?}");
 }
 
+/// Adjacent keys become popular in a large service that has room for them: within two
+/// seconds they are spread so that no upstream has more than it can do.
+#[rstest]
+#[case::many_keys((30_000, 30_199), 455.0)]
+#[case::few_keys((30_000, 30_059), 320.0)]
+#[case::small_service((30_000, 30_039), 40.0)]
+fn step_popular_adjacent_keys_are_spread_until_they_fit(
+    #[case] keys: (u16, u16),
+    #[case] rate: f32,
+) {
+    let upstreams = if rate < 100.0 { 15 } else { 300 };
+    let speeds: Vec<f64> = [0.5, 1.0, 1.0, 1.5]
+        .into_iter()
+        .cycle()
+        .take(upstreams)
+        .collect();
+    let upstreams = candidates_with_rate(&speeds, 9.3);
+    let calm_rate = 2.0 * speeds.len() as f32;
+    let mut loads = even_loads(calm_rate);
+    let mut driver = LedgerDriver::new();
+    driver.run(&upstreams, &loads, Duration::from_secs(2));
+    add_requests(&mut loads, keys, rate);
+    let before = max_utilization(driver.ledger.map(), &upstreams, &loads);
+    driver.run(&upstreams, &loads, Duration::from_secs(2));
+    let after = max_utilization(driver.ledger.map(), &upstreams, &loads);
+    assert!(before > 1.5, "{before}");
+    assert!(after < 1.0, "{before} {after}");
+}
+
+/// An uneven load that fits moves no keys.
+#[test]
+fn step_uneven_load_with_room_moves_nothing() {
+    let upstreams = candidates_with_rate(&[1.0; 15], 33.0);
+    let mut loads = even_loads(100.0);
+    let mut driver = LedgerDriver::new();
+    driver.run(&upstreams, &loads, Duration::from_secs(2));
+    add_requests(&mut loads, (10_000, 12_000), 10.0);
+    add_requests(&mut loads, (50_000, 50_003), 6.0);
+    driver.release_count = 0;
+    driver.run(&upstreams, &loads, Duration::from_secs(10));
+    assert_eq!(driver.release_count, 0);
+}
+
 #[test]
 fn step_changing_load_keeps_the_number_of_ranges_low() {
     let upstreams = candidates(&[1.0; 20]);
--- a/crates/place/src/selector.rs
+++ b/crates/place/src/selector.rs
@@ -11,7 +11,7 @@
 };
 use crate::work::{RequestWork, WorkTimes};
 use indexmap::IndexMap;
-use kernel::{Moment, UpstreamId};
+use kernel::{Moment, ServiceName, UpstreamId};
 use std::time::Duration;
 
 /// Fraction of the expected service time below which the time left makes an answer
@@ -286,6 +286,13 @@
         }
     }
 
+    /// Returns the mean service time (time in a slot) of a service's requests, if it has
+    /// been measured.
+    pub fn mean_service_time(&self, service: &ServiceName) -> Option<Duration> {
+        let service_ms = self.work_times.service_ms(service)?;
+        Some(Duration::from_secs_f64(service_ms / 1_000.0))
+    }
+
     fn mean_work(&self, now: Moment, work: RequestWork<'_>) -> MeanWork {
         MeanWork {
             unit_ms: self.work_times.service_ms(work.service),
