Do not use upstreams that left before the leader lost the store

On the large deployment a host with a link of 20 Mbit/s led at the first start and lost its lease: it sent all entries and owners to 195 hosts at once.

Change: an outage prolongs only entries that lapse in it; hosts that are told of a removal also learn for how long the sender keeps the upstream in use. Strong hosts read the tables at once at the first start. An entry that is applied again does not make its upstream cold for longer.

--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -60,4 +60,7 @@
     pub version: u64,
     /// The entry; `None` when it was removed or could not be decoded.
     pub entry: Option<UpstreamEntry>,
+    /// Time for which the upstream of a removed entry stays in use, if another host has
+    /// told of the change.
+    pub grace: Option<Duration>,
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -47,6 +47,8 @@
     pub first_seen_at: Moment,
     /// Time until which it is slow after its start.
     pub cold_until: Moment,
+    /// When its presence last changed.
+    pub presence_since: Moment,
 }
 
 impl KnownUpstream {
@@ -71,7 +73,9 @@
 pub struct FleetView {
     timing: FleetTiming,
     upstreams: IndexMap<UpstreamId, KnownUpstream>,
-    /// Time until which lapsed entries are attributed to an outage of the store.
+    /// When the last outage of the store began.
+    outage_since: Moment,
+    /// Time until which lapsed entries are attributed to that outage.
     outage_until: Moment,
 }
 
@@ -81,6 +85,7 @@
         Self {
             timing,
             upstreams: IndexMap::new(),
+            outage_since: Moment::ZERO,
             outage_until: Moment::ZERO,
         }
     }
@@ -120,27 +125,43 @@
         let previous_of_run =
             previous.filter(|known| known.entry.started_at_ms == entry.started_at_ms);
         let first_seen_at = previous_of_run.map_or(now, |known| known.first_seen_at);
+        // An entry that is applied again does not make the upstream colder.
         let cold_until = now + entry.cold_duration;
+        let cold_until =
+            previous_of_run.map_or(cold_until, |known| known.cold_until.min(cold_until));
         let is_changed =
             previous.is_none_or(|known| known.entry != entry || known.presence != presence);
+        let presence_since = previous
+            .filter(|known| known.presence == presence)
+            .map_or(now, |known| known.presence_since);
         let known = KnownUpstream {
             entry,
             presence,
             first_seen_at,
             cold_until,
+            presence_since,
         };
         self.upstreams.insert(known.entry.id.clone(), known);
         is_changed
     }
 
     /// Records that an upstream's entry is no longer in the store.
-    pub fn record_missing(&mut self, now: Moment, id: &str) {
-        let until = self.outage_until.max(now + self.timing.missing_grace);
+    ///
+    /// `grace` is the time for which the host that told of it keeps the upstream in use;
+    /// without it this host decides.
+    pub fn record_missing(&mut self, now: Moment, id: &str, grace: Option<Duration>) {
+        let until = match grace {
+            Some(grace) => now + grace,
+            None => self.outage_until.max(now + self.timing.missing_grace),
+        };
         let Some(known) = self.upstreams.get_mut(id) else {
             return;
         };
         match known.presence {
-            Presence::Listed => known.presence = Presence::Missing(until),
+            Presence::Listed => {
+                known.presence = Presence::Missing(until);
+                known.presence_since = now;
+            }
             // A leaving upstream whose entry is missing has left.
             Presence::Leaving(_) => {
                 self.upstreams.shift_remove(id);
@@ -158,21 +179,37 @@
             self.apply(now, entry);
         }
         for id in absent {
-            self.record_missing(now, id.as_str());
+            self.record_missing(now, id.as_str(), None);
         }
     }
 
     /// Records that the store does not answer.
+    ///
+    /// Upstreams whose entries lapsed in this outage stay in use for longer. Those whose
+    /// entries were gone before have left, and must not be used again.
     pub fn record_outage(&mut self, now: Moment) {
+        if now > self.outage_until {
+            self.outage_since = now;
+        }
         self.outage_until = self.outage_until.max(now + self.timing.outage_grace);
-        let until = self.outage_until;
         for known in self.upstreams.values_mut() {
-            if let Presence::Missing(gone_at) = &mut known.presence {
-                *gone_at = until.max(*gone_at);
+            let Presence::Missing(gone_at) = &mut known.presence else {
+                continue;
+            };
+            if known.presence_since >= self.outage_since {
+                *gone_at = self.outage_until.max(*gone_at);
             }
         }
     }
 
+    /// Returns for how much longer an upstream without an entry stays in use.
+    pub fn missing_grace(&self, now: Moment, id: &str) -> Duration {
+        match self.upstreams.get(id).map(|known| known.presence) {
+            Some(Presence::Missing(gone_at)) => gone_at - now,
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Removes the upstreams that are considered gone and returns their ids.
     pub fn remove_expired(&mut self, now: Moment) -> Vec<UpstreamId> {
         let mut gone = Vec::new();
--- a/crates/front/src/adapter.rs
+++ b/crates/front/src/adapter.rs
@@ -37,6 +37,15 @@
 /// hosts.
 const MILLICORES_PER_MBPS: f64 = 2.6;
 
+/// Strength from which a host leads without waiting for a stronger one, in thousandths of
+/// a core. Control of 300 upstreams takes about a tenth of it.
+const MIN_LEADER_STRENGTH: u32 = 130;
+
+/// Returns whether a host of this strength leads without waiting for a stronger one.
+pub(crate) const fn is_strong(strength: u32) -> bool {
+    strength >= MIN_LEADER_STRENGTH
+}
+
 impl FrontSettings {
     /// Returns the host's capacity to lead: its processor share in thousandths of a
     /// core, or less if its link is narrow.
--- a/crates/front/src/leader/lease.rs
+++ b/crates/front/src/leader/lease.rs
@@ -1,6 +1,7 @@
 //! The leader's lease in the store: how it is acquired, renewed, yielded and given up.
 
 use super::{LeaderLoop, TICK_INTERVAL};
+use crate::adapter::is_strong;
 use crate::peers::LeaseAtStart;
 use crate::replica::decode_owner_row;
 use async_std::future::timeout;
@@ -11,9 +12,6 @@
 use std::time::Duration;
 use store::{RowName, RowWrite, TableRow, WriteError, WriteReceipt};
 
-/// Strength from which a host leads without waiting for a stronger one, in thousandths
-/// of a core. Control of 300 upstreams takes about a tenth of it.
-const MIN_LEADER_STRENGTH: u32 = 130;
 /// Key of the lease's row.
 const LEASE_KEY: &str = "lead";
 /// Number of hosts that poll the lease often; the second covers the loss of the first.
@@ -63,7 +61,7 @@
         // Uniform between zero and twice the mean: after a start or a loss of the
         // leader, some host polls soon although each polls seldom. Weak hosts leave the
         // lease to strong ones, which therefore share the rate among themselves.
-        let is_strong = self.context.settings.strength() >= MIN_LEADER_STRENGTH;
+        let is_strong = is_strong(self.context.settings.strength());
         let pollers = if is_strong {
             row.strong_hosts
         } else {
@@ -95,7 +93,7 @@
         let is_available =
             is_successor || row.is_none_or(|row| row.is_available_to(&claimant, store_now));
         // A weak host leaves the lease to a strong one that polls in time.
-        let is_weak = self.context.settings.strength() < MIN_LEADER_STRENGTH;
+        let is_weak = !is_strong(self.context.settings.strength());
         let expired_for = row.map_or_else(
             || self.now() - self.started_at,
             |row| Duration::from_millis(store_now.saturating_sub(row.expires_ms)),
@@ -324,7 +322,6 @@
                 host.name.clone(),
             )
         });
-        let is_strong = |strength: u32| strength >= MIN_LEADER_STRENGTH;
         let strong_others = others
             .iter()
             .filter(|host| is_strong(host.strength))
@@ -373,7 +370,7 @@
     /// Returns a standby that should lead instead of this host, if this host is weak.
     fn stronger_standby(&self) -> Option<String> {
         let strength = self.context.settings.strength();
-        if strength >= MIN_LEADER_STRENGTH {
+        if is_strong(strength) {
             return None;
         }
         self.context
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -40,6 +40,7 @@
 mod replica;
 mod reports;
 mod request;
+mod send_budget;
 mod view;
 
 pub use adapter::{
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -302,10 +302,10 @@
     pub ranges: WireOwners,
 }
 
-/// A change of an upstream's entry: its id, the version, and the entry's fields, or
-/// `None` if it was removed.
+/// A change of an upstream's entry: its id, the version, and the entry's fields, or for
+/// how many milliseconds the upstream of a removed entry stays in use.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct WireEntry(UpstreamId, u64, Option<WireEntryFields>);
+pub(crate) struct WireEntry(UpstreamId, u64, Result<WireEntryFields, u32>);
 
 /// The fields of an entry. They take a few dozen bytes where the store's row takes
 /// hundreds, as every host receives every change.
@@ -331,13 +331,19 @@
             cold_ms: entry.cold_duration.as_millis() as u32,
             started_at_ms: entry.started_at_ms,
         });
-        Self(change.id, change.version, fields)
+        let grace = change.grace.unwrap_or_default();
+        Self(
+            change.id,
+            change.version,
+            fields.ok_or(grace.as_millis() as u32),
+        )
     }
 }
 
 impl From<WireEntry> for EntryChange {
     fn from(WireEntry(id, version, fields): WireEntry) -> Self {
-        let entry = fields.map(|fields| UpstreamEntry {
+        let grace = fields.as_ref().err().copied();
+        let entry = fields.ok().map(|fields| UpstreamEntry {
             id: id.clone(),
             service: fields.service,
             address: fields.address,
@@ -351,7 +357,12 @@
             cold_duration: Duration::from_millis(u64::from(fields.cold_ms)),
             started_at_ms: fields.started_at_ms,
         });
-        Self { id, version, entry }
+        Self {
+            id,
+            version,
+            entry,
+            grace: grace.map(|ms| Duration::from_millis(u64::from(ms))),
+        }
     }
 }
 
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -50,8 +50,8 @@
 /// the store itself.
 const LEADER_REPLY_DELAY: Duration = Duration::from_millis(400);
 /// Maximum time for which a host waits for the leader's messages at the first start of a
-/// deployment, before which there is no traffic. The hosts' waits differ, so that some
-/// of them soon know enough to lead.
+/// deployment, before which there is no traffic. Strong hosts do not wait, so that one
+/// of them soon leads; the waits of the others differ, as there may be no strong one.
 const MAX_FIRST_START_DELAY: Duration = Duration::from_millis(1_500);
 /// Interval at which a host that follows the leader checks that it may go on doing so.
 const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(80);
@@ -218,6 +218,7 @@
                 id,
                 version: row.version,
                 entry,
+                grace: None,
             }
         };
         rows.iter().map(decode).collect()
@@ -290,7 +291,14 @@
         let state = self.state.lock();
         let changes = &state.entry_changes;
         let from = changes.partition_point(|change| change.version <= version);
-        changes[from..].to_vec()
+        let now = self.clock.now();
+        let mut newer = changes[from..].to_vec();
+        for change in &mut newer {
+            if change.entry.is_none() {
+                change.grace = Some(state.fleet.missing_grace(now, change.id.as_str()));
+            }
+        }
+        newer
     }
 
     /// Applies changed rows of a table.
@@ -361,7 +369,12 @@
             return;
         }
         for change in changes {
-            let EntryChange { id, version, entry } = change;
+            let EntryChange {
+                id,
+                version,
+                entry,
+                grace,
+            } = change;
             if *version <= known_version {
                 continue;
             }
@@ -370,7 +383,7 @@
             state.entry_changes.push(change.clone());
             let Some(entry) = entry else {
                 info!(target: "fleet", "upstream={id} state=missing row={version}");
-                state.fleet.record_missing(now, id.as_str());
+                state.fleet.record_missing(now, id.as_str(), *grace);
                 continue;
             };
             if !state.fleet.apply(now, entry.clone()) {
@@ -394,12 +407,6 @@
         }
     }
 
-    /// Records that the store does not answer the leader, so that entries may lapse
-    /// although their upstreams live.
-    pub(crate) fn record_leader_outage(&self) {
-        self.state.lock().fleet.record_outage(self.clock.now());
-    }
-
     /// Applies a row of owners, unless a newer one is known.
     pub(crate) fn apply_owner_row(&self, row: &TableRow) {
         let service = ServiceName::from(row.key.as_str());
@@ -578,6 +585,8 @@
     pub store: Arc<dyn RowStore>,
     pub peers: Arc<PeerRegistry>,
     pub bounds: SharedBounds,
+    /// Whether the host leads without waiting for a stronger one.
+    pub is_strong: bool,
     pub table: FollowedTable,
     /// Name of the table in the store.
     pub name: String,
@@ -633,7 +642,11 @@
     /// Waits for the leader's messages at the start; returns the first step.
     async fn start(&self) -> FollowStep {
         let started_at = self.replica.clock.now();
-        let first_start_delay = MAX_FIRST_START_DELAY.mul_f64(self.replica.random.fraction());
+        let first_start_delay = if self.is_strong {
+            Duration::ZERO
+        } else {
+            MAX_FIRST_START_DELAY.mul_f64(self.replica.random.fraction())
+        };
         loop {
             if self.replica.has_table(self.table) {
                 // No version of the store is known; it answers that there is no history
