Share the connections that an upstream accepts among all hosts

Each host kept up to 8 idle connections to each upstream (195 x 8 exceed 1,200), went on opening new ones after a reset, and the leader saw no report from an upstream that resets, so it worked out no share. Hot keys moved between upstreams of similar strength and were without a holder for 0.5 to 3 s each time.

Change: a host has at most its share of 0.3 of an upstream's connections in use and as many idle. A new connection that is reset pauses the upstream like a rejection, doubling up to 16 times; an upstream that answers less than half of what it gets counts as saturated. A hot key moves only to an upstream twice as strong.

--- a/crates/front/src/budgets.rs
+++ b/crates/front/src/budgets.rs
@@ -17,6 +17,7 @@
 #[derive(Debug)]
 pub(crate) struct RetryBudgets {
     bounds: SharedBounds,
+    /// Number of hosts; 0 until it is known.
     host_count: AtomicU32,
     budgets: Mutex<IndexMap<ServiceName, RetryBudget>>,
 }
@@ -25,7 +26,7 @@
     pub(crate) fn new(bounds: SharedBounds) -> Self {
         Self {
             bounds,
-            host_count: AtomicU32::new(DEFAULT_HOST_COUNT),
+            host_count: AtomicU32::new(0),
             budgets: Mutex::new(IndexMap::new()),
         }
     }
@@ -39,6 +40,12 @@
         }
     }
 
+    /// Returns the number of hosts that share the budget, if known.
+    pub(crate) fn host_count(&self) -> Option<u32> {
+        let host_count = self.host_count.load(Ordering::Relaxed);
+        (host_count > 0).then_some(host_count)
+    }
+
     /// Drops all budgets; new ones use the bounds in force.
     pub(crate) fn reset(&self) {
         self.budgets.lock().clear();
@@ -53,7 +60,7 @@
     }
 
     fn capacity(&self) -> f64 {
-        let host_count = f64::from(self.host_count.load(Ordering::Relaxed));
+        let host_count = f64::from(self.host_count().unwrap_or(DEFAULT_HOST_COUNT));
         (self.bounds.load().retry_extra * USED_FRACTION / host_count).max(1.0)
     }
 
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -37,6 +37,9 @@
 /// Cost of a large answer from another failure domain, as a fraction of the target
 /// latency: links between domains are narrow and expensive.
 const CROSS_DOMAIN_DOWNLOAD_COST_FRACTION: f64 = 0.3;
+/// Fraction of the connections that an upstream accepts which all hosts together may use
+/// for requests; as many may be idle, and the rest is for hosts that have just started.
+const CONNECTION_FRACTION: f64 = 0.3;
 /// Fraction of the drain bound for which a leaving holder of keys is still used. The
 /// news that it leaves may have taken over a second to arrive.
 const DRAIN_USE_FRACTION: f64 = 0.25;
@@ -60,6 +63,37 @@
     pub metrics: FrontMetrics,
 }
 
+impl DispatchState {
+    fn candidate(&self, now: Moment, upstream: &KnownUpstream) -> UpstreamCandidate {
+        let entry = &upstream.entry;
+        UpstreamCandidate {
+            id: entry.id.clone(),
+            slots: entry.slots,
+            is_local: entry.domain == self.domain,
+            is_cold: now < upstream.cold_until,
+            max_requests: self.max_requests(&entry.service),
+        }
+    }
+
+    /// Returns the maximum number of requests that this host may have at one upstream of
+    /// a service, each on a connection of its own, and of idle connections beside them.
+    ///
+    /// An upstream accepts a number of connections from all hosts together, and resets
+    /// what is beyond it.
+    fn max_requests(&self, service: &ServiceName) -> u32 {
+        let view = self.view.load();
+        let sheet = view.sheet.as_ref();
+        let Some(service) = sheet.and_then(|sheet| sheet.services.get(service)) else {
+            return 1;
+        };
+        // The number of hosts is unknown only before the first leader, when there is no
+        // traffic yet.
+        let host_count = f64::from(self.budgets.host_count().unwrap_or(1));
+        let share = f64::from(service.max_connections) * CONNECTION_FRACTION / host_count;
+        (share.ceil() as u32).max(1)
+    }
+}
+
 /// Sends each request to an upstream and returns its answer.
 #[derive(Clone, Debug)]
 pub(crate) struct Dispatcher {
@@ -272,7 +306,8 @@
             outcome: RequestOutcome::Abandoned,
             report: None,
         };
-        let exchanged = state.exchanger.exchange(entry, request).await;
+        let max_requests = state.max_requests(&entry.service);
+        let exchanged = state.exchanger.exchange(entry, request, max_requests).await;
         guard.outcome = exchanged.outcome;
         guard.report = exchanged.report;
         drop(guard);
@@ -289,7 +324,9 @@
         info!(target: "upstream", "upstream={} state=reachable", entry.id);
         let now = state.clock.now();
         let connection = h1::Connection::new(stream);
-        state.exchanger.pool.put(now, &entry.id, connection, None);
+        let max_idle = state.max_requests(&entry.service);
+        let pool = &state.exchanger.pool;
+        pool.put(now, &entry.id, connection, None, max_idle);
         state.selector.lock().record_reachable(&entry.id);
     }
 
@@ -374,12 +411,7 @@
             return DispatchTarget::Moving(moves.remaining_wait(now, &request.service, first));
         };
         self.state.moves.lock().record_held(&request.service, first);
-        self.select_target(
-            now,
-            request,
-            &[upstream_candidate(upstream, &self.state.domain, now)],
-            view,
-        )
+        self.select_target(now, request, &[self.state.candidate(now, upstream)], view)
     }
 
     /// Returns the holder of a range, if requests may be sent to it.
@@ -428,7 +460,7 @@
             if !upstream.accepts_requests(now) {
                 continue;
             }
-            let candidate = upstream_candidate(upstream, &self.state.domain, now);
+            let candidate = self.state.candidate(now, upstream);
             if history.tried_upstreams.contains(id) {
                 tried.push(candidate);
                 continue;
@@ -539,16 +571,3 @@
         );
     }
 }
-
-fn upstream_candidate(
-    upstream: &KnownUpstream,
-    domain: &DomainName,
-    now: Moment,
-) -> UpstreamCandidate {
-    UpstreamCandidate {
-        id: upstream.entry.id.clone(),
-        slots: upstream.entry.slots,
-        is_local: upstream.entry.domain == *domain,
-        is_cold: now < upstream.cold_until,
-    }
-}
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use crate::adapter::HeaderNames;
 use crate::answer::UpstreamAnswer;
-use crate::pool::ConnectionPool;
+use crate::pool::{ConnectionPool, ReadyConnection};
 use crate::request::ResolvedRequest;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
@@ -50,11 +50,13 @@
 }
 
 impl Exchanger {
-    /// Sends a request to an upstream and reads its complete answer.
+    /// Sends a request to an upstream and reads its complete answer; keeps up to
+    /// `max_idle` connections to the upstream.
     pub(crate) async fn exchange(
         &self,
         entry: &UpstreamEntry,
         request: &ResolvedRequest,
+        max_idle: u32,
     ) -> ExchangeResult {
         let now = self.clock.now();
         let remaining = request.deadline - now;
@@ -62,8 +64,11 @@
         let connecting = self
             .pool
             .take(now, &entry.id, entry.address, must_be_fresh, remaining);
-        let mut connection = match connecting.await {
-            Ok(connection) => connection,
+        let ReadyConnection {
+            mut connection,
+            is_new,
+        } = match connecting.await {
+            Ok(ready) => ready,
             Err(error) => {
                 self.pool.clear(&entry.id);
                 warn!(
@@ -79,7 +84,7 @@
         };
         let remaining = request.deadline - self.clock.now();
         if remaining < MIN_REMAINING_TIME {
-            self.pool.put(now, &entry.id, connection, None);
+            self.pool.put(now, &entry.id, connection, None, max_idle);
             return ExchangeResult::failed(Cause::DeadlineUnreachable, RequestOutcome::Abandoned);
         }
         let bytes = request.encode(&self.names, entry.id.as_str(), remaining);
@@ -94,13 +99,19 @@
             }
             Ok(Err(_)) => {
                 self.pool.clear(&entry.id);
-                return ExchangeResult::failed(Cause::UpstreamLost, RequestOutcome::Lost);
+                let outcome = if is_new {
+                    RequestOutcome::Reset
+                } else {
+                    RequestOutcome::Lost
+                };
+                return ExchangeResult::failed(Cause::UpstreamLost, outcome);
             }
             Err(_elapsed) => {
                 return ExchangeResult::failed(Cause::UpstreamTimeout, RequestOutcome::Abandoned);
             }
         };
-        self.read_answer(entry, request, connection, head).await
+        self.read_answer(entry, request, connection, head, max_idle)
+            .await
     }
 
     /// Reads the head of the answer to this request; returns `None` if there are only
@@ -143,6 +154,7 @@
         request: &ResolvedRequest,
         mut connection: Connection<TcpStream>,
         head: ResponseHead,
+        max_idle: u32,
     ) -> ExchangeResult {
         let report = head.headers.get(self.names.load).and_then(parse_load);
         let remaining = request.deadline - self.clock.now();
@@ -159,8 +171,13 @@
         };
         if head.keeps_alive {
             let keep_alive = head.headers.get("keep-alive");
-            self.pool
-                .put(self.clock.now(), &entry.id, connection, keep_alive);
+            self.pool.put(
+                self.clock.now(),
+                &entry.id,
+                connection,
+                keep_alive,
+                max_idle,
+            );
         }
         if self.is_not_run(&head) {
             let (cause, outcome) = match head.status {
--- a/crates/front/src/grant_client.rs
+++ b/crates/front/src/grant_client.rs
@@ -15,6 +15,8 @@
 /// Timeout of a release, whose reply comes when the running requests have ended; the
 /// longest take a few seconds.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Maximum number of idle connections to one upstream; most have one range of keys.
+const MAX_IDLE_CONNECTIONS: u32 = 2;
 /// Maximum size of a reply, in bytes.
 const MAX_REPLY_BYTES: u64 = 16 << 10;
 
@@ -71,7 +73,7 @@
             .take(now, id, address, false, CONNECT_TIMEOUT)
             .await;
         let mut connection = match connected {
-            Ok(connection) => connection,
+            Ok(ready) => ready.connection,
             Err(error) => {
                 warn!(target: "grant", "upstream={id} address={address} error=\"{error}\"");
                 return CallReply::Unreachable;
@@ -82,7 +84,8 @@
         };
         // Connecting took time; a grant must not be sent after the lease has ended.
         if !is_valid() || self.clock.now() > call.send_deadline {
-            self.pool.put(self.clock.now(), id, connection, None);
+            self.pool
+                .put(self.clock.now(), id, connection, None, MAX_IDLE_CONNECTIONS);
             return CallReply::Unsent;
         }
         let names = self.platform.headers();
@@ -100,7 +103,8 @@
         let exchanging = exchange_on(&mut connection, &bytes, names);
         if let Ok(Ok((reply, keeps_alive))) = timeout(max_wait, exchanging).await {
             if keeps_alive {
-                self.pool.put(self.clock.now(), id, connection, None);
+                self.pool
+                    .put(self.clock.now(), id, connection, None, MAX_IDLE_CONNECTIONS);
             }
             reply
         } else {
--- a/crates/front/src/leader/lease.rs
+++ b/crates/front/src/leader/lease.rs
@@ -247,6 +247,8 @@
                 self.row_version = receipt.version;
                 self.written_version = receipt.version;
                 self.context.peers.set_leader(row.address.parse().ok());
+                let budgets = &self.context.dispatcher.state.budgets;
+                budgets.set_host_count(row.hosts);
                 self.context
                     .peers
                     .set_leading(Some(row.term), &row.standbys);
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -8,9 +8,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Maximum number of idle connections to one upstream; there are seldom more in use
-/// than the upstream has slots.
-const MAX_IDLE: usize = 8;
 /// Time for which a connection is kept if the upstream sends no `Keep-Alive` timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 /// Time subtracted from the upstream's `Keep-Alive` timeout, so that a request is not
@@ -30,6 +27,14 @@
     expires_at: Moment,
 }
 
+/// A connection to an upstream that is ready for a request.
+#[derive(Debug)]
+pub(crate) struct ReadyConnection {
+    pub connection: Connection<TcpStream>,
+    /// Whether it has just been opened.
+    pub is_new: bool,
+}
+
 /// A pool of idle connections to upstreams.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionPool {
@@ -50,30 +55,37 @@
         address: SocketAddr,
         must_be_fresh: bool,
         timeout: Duration,
-    ) -> Result<Connection<TcpStream>, DialError> {
+    ) -> Result<ReadyConnection, DialError> {
         while let Some(idle) = self.pop(id) {
             let is_stale =
                 now >= idle.expires_at || (must_be_fresh && now - idle.idle_since > MAX_FRESH_IDLE);
             if !is_stale && is_idle(idle.connection.stream()) {
-                return Ok(idle.connection);
+                return Ok(ReadyConnection {
+                    connection: idle.connection,
+                    is_new: false,
+                });
             }
         }
         let stream = dial(address, timeout.min(CONNECT_TIMEOUT)).await?;
-        Ok(Connection::new(stream))
+        Ok(ReadyConnection {
+            connection: Connection::new(stream),
+            is_new: true,
+        })
     }
 
     fn pop(&self, id: &UpstreamId) -> Option<IdleConnection> {
         self.idle.lock().get_mut(id)?.pop()
     }
 
-    /// Adds a connection whose last answer was read completely; `keep_alive` is the
-    /// answer's `Keep-Alive` header.
+    /// Adds a connection whose last answer was read completely, unless there are
+    /// `max_idle` already; `keep_alive` is the answer's `Keep-Alive` header.
     pub(crate) fn put(
         &self,
         now: Moment,
         id: &UpstreamId,
         connection: Connection<TcpStream>,
         keep_alive: Option<&str>,
+        max_idle: u32,
     ) {
         if connection.has_buffered_bytes() {
             return;
@@ -83,7 +95,7 @@
             .unwrap_or(DEFAULT_KEEP_ALIVE);
         let mut idle = self.idle.lock();
         let connections = idle.entry(id.clone()).or_default();
-        if connections.len() >= MAX_IDLE {
+        if connections.len() >= max_idle as usize {
             connections.remove(0);
         }
         connections.push(IdleConnection {
--- a/crates/grant/src/balance.rs
+++ b/crates/grant/src/balance.rs
@@ -41,8 +41,9 @@
 const HOT_UTILIZATION: f64 = 0.4;
 /// Maximum fraction of the upstreams that serve a hot key each.
 const MAX_HOT_UPSTREAM_FRACTION: f64 = 0.34;
-/// Ratio of capacities above which a hot key moves to a stronger upstream.
-const MIN_HOT_CAPACITY_RATIO: f64 = 1.25;
+/// Ratio of capacities above which a hot key moves to a stronger upstream. While it
+/// moves, nobody serves it.
+const MIN_HOT_CAPACITY_RATIO: f64 = 2.0;
 /// Maximum number of pieces that an orphaned range is split into.
 const MAX_ORPHAN_PIECES: usize = 4;
 /// Number of ranges per upstream above which no range is split for balance; each range
--- a/crates/place/src/fleet_loads.rs
+++ b/crates/place/src/fleet_loads.rs
@@ -23,6 +23,9 @@
 /// Occupancy above which an upstream has no unused slot, as a fraction of its slots, so
 /// that the rate of its answers is what it can do.
 const SATURATED_RATIO: f64 = 1.0;
+/// Fraction of the requests at an upstream below which so few are answered that it must
+/// be saturated.
+const MIN_ANSWERED_FRACTION: f64 = 0.5;
 /// Occupancy above which the wait for a slot takes twice as long as the work itself.
 const OVERLOADED_RATIO: f64 = 3.0;
 /// Factor by which the capacity is taken to be lower while the queue is too long, so
@@ -46,7 +49,8 @@
     observed_at: Moment,
     load: FleetLoad,
     /// Sums since the share was last worked out.
-    wanted: u32,
+    sent: u32,
+    refused: u32,
     answered: u32,
     occupancy_sum: f64,
     occupancy_count: u32,
@@ -67,7 +71,8 @@
         let first = UpstreamLoad {
             observed_at: now,
             load: FleetLoad::default(),
-            wanted: 0,
+            sent: 0,
+            refused: 0,
             answered: 0,
             occupancy_sum: 0.0,
             occupancy_count: 0,
@@ -86,7 +91,8 @@
             observed.occupancy_ratio,
             OCCUPANCY_WEIGHT,
         );
-        state.wanted += observed.requests + observed.refused;
+        state.sent += observed.requests;
+        state.refused += observed.refused;
         state.answered += observed.answered;
         if let Some(ratio) = observed.occupancy_ratio {
             state.occupancy_sum += ratio;
@@ -124,12 +130,16 @@
     /// rate of the requests.
     fn update_share(&mut self, elapsed: Duration) {
         let seconds = elapsed.as_secs_f64().max(f64::MIN_POSITIVE);
-        let wanted_rate = f64::from(std::mem::take(&mut self.wanted)) / seconds;
-        let answered_rate = f64::from(std::mem::take(&mut self.answered)) / seconds;
+        let sent = std::mem::take(&mut self.sent);
+        let answered = std::mem::take(&mut self.answered);
+        let wanted_rate = f64::from(sent + std::mem::take(&mut self.refused)) / seconds;
+        let answered_rate = f64::from(answered) / seconds;
         let occupancy_count = std::mem::take(&mut self.occupancy_count);
         let occupancy_sum = std::mem::take(&mut self.occupancy_sum);
         let occupancy_ratio = occupancy_sum / f64::from(occupancy_count.max(1));
-        let is_saturated = occupancy_ratio >= SATURATED_RATIO;
+        // An upstream that resets most of its connections reports no load.
+        let is_resetting = f64::from(answered) < f64::from(sent) * MIN_ANSWERED_FRACTION;
+        let is_saturated = is_resetting || occupancy_ratio >= SATURATED_RATIO;
         self.capacity = match self.capacity {
             None if !is_saturated => None,
             None => Some(answered_rate),
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -20,7 +20,7 @@
 //!     time_left: Duration::from_secs(1),
 //!     cross_domain_cost: Duration::ZERO,
 //! };
-//! let candidates = [place::UpstreamCandidate { id: "i-1".into(), slots: 4, is_local: true, is_cold: false }];
+//! let candidates = [place::UpstreamCandidate { id: "i-1".into(), slots: 4, is_local: true, is_cold: false, max_requests: 64 }];
 //! let selection = selector.choose(now, work, &candidates, &limits);
 //! assert!(matches!(selection, Selection::Send { .. }));
 //! ```
--- a/crates/place/src/selector.rs
+++ b/crates/place/src/selector.rs
@@ -42,6 +42,8 @@
     pub is_local: bool,
     /// Whether it is still slow after its start.
     pub is_cold: bool,
+    /// Maximum number of requests that this host may have there at a time.
+    pub max_requests: u32,
 }
 
 /// Limits on the selection for one request.
@@ -424,7 +426,11 @@
         Self {
             service: work.route_ms.unwrap_or_default() * slowness,
             wait: excess_occupancy / slots * unit_ms * slowness,
-            full: to_ms(state.full_remaining(now)),
+            full: if state.own_requests() >= candidate.max_requests {
+                (unit_ms * slowness / slots).max(1.0)
+            } else {
+                to_ms(state.full_remaining(now))
+            },
             backlog: (occupancy + 1.0) / slots * work.unit_ms.unwrap_or(1.0) * slowness,
         }
     }
--- a/crates/place/src/state.rs
+++ b/crates/place/src/state.rs
@@ -38,6 +38,10 @@
 /// Interval between probes of an upstream in backoff that requests would have been sent
 /// to; longer than one probe takes, and short compared with the backoff.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Maximum number of times that the pause after a reset of a new connection doubles. An
+/// upstream accepts fewer connections while its queue is long, and a client whose request
+/// was reset is not told that it has not run.
+const MAX_RESET_DOUBLINGS: u32 = 4;
 /// Factor by which a cold upstream is assumed to be slower.
 const COLD_FACTOR: f64 = 2.0;
 /// Avoidance of failing upstreams where there is a choice: at a failure rate of 1 the
@@ -99,6 +103,9 @@
     Unreachable,
     /// The connection was lost or went silent after the request was sent.
     Lost,
+    /// The connection was reset right after it had been opened; an upstream does this to
+    /// connections beyond those that it accepts.
+    Reset,
     /// The host abandoned the request.
     Abandoned,
 }
@@ -118,6 +125,8 @@
     backoff_until: Moment,
     backoff: Duration,
     full_until: Moment,
+    /// New connections that were reset since the last answer.
+    consecutive_resets: u32,
     /// Whether a request would have been sent here if not for the backoff.
     is_wanted: bool,
     next_probe_at: Moment,
@@ -150,6 +159,7 @@
             backoff_until: Moment::ZERO,
             backoff: MIN_BACKOFF,
             full_until: Moment::ZERO,
+            consecutive_resets: 0,
             is_wanted: false,
             next_probe_at: Moment::ZERO,
             observed: ObservedSums::default(),
@@ -311,12 +321,19 @@
         match outcome {
             RequestOutcome::Answered => {
                 self.observed.answered += 1;
+                self.consecutive_resets = 0;
                 self.record_result(0.0);
                 return self.record_service(now, sent, report, work);
             }
             RequestOutcome::Failed => self.record_result(1.0),
             RequestOutcome::Lost => self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate),
-            RequestOutcome::Full => self.record_full(now, sent.slots, work.unit_ms),
+            RequestOutcome::Full => self.record_full(now, sent.slots, work.unit_ms, 0),
+            RequestOutcome::Reset => {
+                self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate);
+                let doublings = self.consecutive_resets.min(MAX_RESET_DOUBLINGS);
+                self.consecutive_resets += 1;
+                self.record_full(now, sent.slots, work.unit_ms, doublings);
+            }
             RequestOutcome::Unreachable => {
                 self.backoff_until = now + self.backoff;
                 self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
@@ -326,10 +343,10 @@
         None
     }
 
-    /// Pauses for the mean time in which one slot becomes free.
-    fn record_full(&mut self, now: Moment, slots: u32, unit_ms: Option<f64>) {
+    /// Pauses for the mean time in which one slot becomes free, doubled so many times.
+    fn record_full(&mut self, now: Moment, slots: u32, unit_ms: Option<f64>, doublings: u32) {
         let slot_ms = unit_ms.unwrap_or_default() / f64::from(slots.max(1));
-        self.full_until = now + Duration::from_secs_f64(slot_ms / 1_000.0);
+        self.full_until = now + Duration::from_secs_f64(slot_ms / 1_000.0) * (1 << doublings);
     }
 
     fn record_result(&mut self, failure: f64) {
--- a/crates/place/tests/choice.rs
+++ b/crates/place/tests/choice.rs
@@ -26,6 +26,7 @@
         slots: SLOTS,
         is_local: true,
         is_cold: false,
+        max_requests: 64,
     };
     (0..count).map(candidate).collect()
 }
--- a/crates/place/tests/estimates.rs
+++ b/crates/place/tests/estimates.rs
@@ -61,6 +61,7 @@
             slots: deployment.slots,
             is_local: index % 2 == 0,
             is_cold: false,
+            max_requests: 64,
         };
         let routes = 0..deployment.work_ms.len();
         Self {
@@ -161,6 +162,7 @@
         slots: 2,
         is_local: true,
         is_cold: true,
+        max_requests: 64,
     }];
     let limits = SelectionLimits {
         target_left: Duration::from_millis(90),
@@ -182,6 +184,7 @@
         slots: 2,
         is_local: true,
         is_cold: false,
+        max_requests: 64,
     }];
     let mut now = Moment::from_millis(1_000);
     for turn in 0..40 {
--- a/crates/place/tests/fleet/mod.rs
+++ b/crates/place/tests/fleet/mod.rs
@@ -115,6 +115,7 @@
             slots: shape.slots,
             is_local: true,
             is_cold: false,
+            max_requests: 64,
         };
         Self {
             policy,
