Cut answers without end, and deliver an error that an upstream has answered with

Bodies were held up to 64 MB each, on hosts of 112 MB; interim responses and the extension of a chunk had no limit that held. A rejection whose body broke off put its connection back into the pool. A rejection without a request id was taken for the present request's also on a connection in use before, where it can be a late copy. An idempotent request that an upstream answered with an error was refused as not run when no retry was left.

Change: all bodies together take a sixteenth of the host's memory and one a thirty-second; they are kept in the parts that arrived. Up to 16 interim responses; lines are limited also when they are complete. Rejections without an id count only on new connections. An error that an upstream has answered with is delivered.

--- a/crates/front/src/adapter.rs
+++ b/crates/front/src/adapter.rs
@@ -26,6 +26,8 @@
     pub internal: SocketAddr,
     /// Processor share of the host, in thousandths of a core.
     pub millicores: u32,
+    /// Memory that the process may use, in megabytes.
+    pub memory_mb: u32,
     /// Bandwidth of the host's network link, in Mbit/s.
     pub link_mbps: u32,
     /// Timeouts and limits that the deployment sets.
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -1,5 +1,6 @@
 //! Answers to clients and their encoding.
 
+use crate::answer_memory::HeldBody;
 use h1::{HeaderList, encode_response_head};
 use kernel::{Refusal, Verdict};
 
@@ -9,18 +10,18 @@
 }
 
 /// An upstream's complete answer.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct UpstreamAnswer {
     pub status: u16,
     pub headers: HeaderList,
-    pub body: Vec<u8>,
+    pub body: HeldBody,
     /// Whether the status or method forbids a body, so that the content length need not
     /// match `body`.
     pub is_bodiless: bool,
 }
 
-/// Encodes an upstream's answer for the client.
-pub(crate) fn encode_answer(answer: &UpstreamAnswer, keeps_alive: bool) -> Vec<u8> {
+/// Encodes the head of an upstream's answer for the client.
+pub(crate) fn encode_answer_head(answer: &UpstreamAnswer, keeps_alive: bool) -> Vec<u8> {
     let mut headers = HeaderList::new();
     for (name, value) in answer.headers.iter() {
         if is_hop_by_hop_header(name) || (name == "content-length" && !answer.is_bodiless) {
@@ -34,9 +35,7 @@
     if !keeps_alive {
         headers.push("connection", "close");
     }
-    let mut bytes = encode_response_head(answer.status, &headers);
-    bytes.extend_from_slice(&answer.body);
-    bytes
+    encode_response_head(answer.status, &headers)
 }
 
 /// Encodes an answer that refuses a request.
--- a/crates/front/src/client_connection.rs
+++ b/crates/front/src/client_connection.rs
@@ -6,7 +6,7 @@
 //! are answered: a client sends again whatever is behind an answer that closes the
 //! connection.
 
-use crate::answer::{UpstreamAnswer, encode_answer, encode_refusal};
+use crate::answer::{UpstreamAnswer, encode_answer_head, encode_refusal};
 use crate::client_reader::{ReadOutcome, ReadRequest, read_request};
 use crate::clients::{ClientServer, InFlightGuard};
 use async_std::future::timeout;
@@ -323,8 +323,8 @@
     async fn write_answer(&mut self, finished: FinishedRequest) -> NextStep {
         let is_last = self.answers.pending.len() == 1 && self.held_request.is_none();
         let closes = finished.closes || (is_last && self.server.is_stopping());
-        let bytes = match &finished.outcome {
-            Ok(answer) => encode_answer(answer, !closes),
+        let mut bytes = match &finished.outcome {
+            Ok(answer) => encode_answer_head(answer, !closes),
             Err(refusal) => {
                 let names = &self.server.dispatcher.state.exchanger.names;
                 let id = finished.id.as_deref().map(|id| (names.request_id, id));
@@ -332,8 +332,20 @@
             }
         };
         let mut stream = self.stream.clone();
+        let mut parts = match &finished.outcome {
+            Ok(answer) => answer.body.parts(),
+            Err(_) => &[],
+        };
+        if let [only] = parts {
+            // Most answers are short and leave in one packet with their head.
+            bytes.extend_from_slice(only);
+            parts = &[];
+        }
         let writing = async {
             stream.write_all(&bytes).await?;
+            for part in parts {
+                stream.write_all(part).await?;
+            }
             stream.flush().await
         };
         match timeout(WRITE_TIMEOUT, writing).await {
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -185,7 +185,13 @@
         let outcome = self
             .send_with_retries(request, &mut history, is_client_gone)
             .await;
-        let outcome = outcome.map_err(|refusal| self.final_refusal(request, &history, refusal));
+        // A refusal would say that the request has not run, although an upstream ran it.
+        let outcome = match (outcome, history.failed_answer.take()) {
+            (Err(_), Some(failed_answer)) => Ok(failed_answer),
+            (outcome, _) => {
+                outcome.map_err(|refusal| self.final_refusal(request, &history, refusal))
+            }
+        };
         self.log_outcome(request, &history, &outcome);
         outcome
     }
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::adapter::HeaderNames;
 use crate::answer::UpstreamAnswer;
+use crate::answer_memory::AnswerMemory;
 use crate::pool::{ConnectionPool, ReadyConnection};
 use crate::request::ResolvedRequest;
 use async_std::future::timeout;
@@ -20,8 +21,6 @@
 /// Maximum number of answers to other requests that are skipped before the connection
 /// is dropped.
 const MAX_STRAY_ANSWERS: u32 = 4;
-/// Maximum size of an answer that is held in memory, in bytes.
-const MAX_BODY_BYTES: u64 = 64 << 20;
 
 /// Exchanges requests with upstreams.
 #[derive(Debug)]
@@ -29,6 +28,7 @@
     pub pool: ConnectionPool,
     pub clock: Arc<dyn Clock>,
     pub names: HeaderNames,
+    pub memory: AnswerMemory,
 }
 
 /// The result of one exchange.
@@ -90,7 +90,8 @@
         let bytes = request.encode(&self.names, entry.id.as_str(), remaining);
         let exchange = async {
             connection.write(&bytes).await?;
-            self.read_matching_head(&mut connection, request).await
+            self.read_matching_head(&mut connection, request, is_new)
+                .await
         };
         let head = match timeout(remaining, exchange).await {
             Ok(Ok(Some(head))) => head,
@@ -120,14 +121,18 @@
         &self,
         connection: &mut Connection<TcpStream>,
         request: &ResolvedRequest,
+        is_new: bool,
     ) -> h1::Result<Option<ResponseHead>> {
         let limits = HeadLimits::default();
         for _stray in 0..MAX_STRAY_ANSWERS {
             let head = connection.read_response(&limits, &request.method).await?;
             match head.headers.get(self.names.request_id) {
                 Some(id) if id == request.id.as_str() => return Ok(Some(head)),
-                None if self.is_not_run(&head) => return Ok(Some(head)),
-                _ => {}
+                // On a connection that was in use before, it may be a late copy of the
+                // answer to an earlier request.
+                None if is_new && self.is_not_run(&head) => return Ok(Some(head)),
+                None => return Ok(None),
+                Some(_) => {}
             }
             warn!(
                 target: "upstream",
@@ -137,9 +142,7 @@
             if !head.keeps_alive {
                 return Ok(None);
             }
-            connection
-                .read_whole_body(head.body, MAX_BODY_BYTES)
-                .await?;
+            self.memory.read_body(connection, head.body).await?;
         }
         Ok(None)
     }
@@ -158,10 +161,14 @@
     ) -> ExchangeResult {
         let report = head.headers.get(self.names.load).and_then(parse_load);
         let remaining = request.deadline - self.clock.now();
-        let reading = connection.read_whole_body(head.body, MAX_BODY_BYTES);
+        let reading = self.memory.read_body(&mut connection, head.body);
+        let mut is_reusable = head.keeps_alive;
         let body = match timeout(remaining, reading).await {
             Ok(Ok(body)) => body,
-            _ if self.is_not_run(&head) => Vec::new(),
+            _ if self.is_not_run(&head) => {
+                is_reusable = false;
+                self.memory.empty_body()
+            }
             Ok(Err(_)) => {
                 return ExchangeResult::failed(Cause::AnswerInvalid, RequestOutcome::Lost);
             }
@@ -169,7 +176,7 @@
                 return ExchangeResult::failed(Cause::UpstreamTimeout, RequestOutcome::Abandoned);
             }
         };
-        if head.keeps_alive {
+        if is_reusable {
             let keep_alive = head.headers.get("keep-alive");
             self.pool.put(
                 self.clock.now(),
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -3,6 +3,7 @@
 use crate::adapter::{
     FrontBounds, FrontSettings, LoadedPlatform, SharedBounds, UserPlatform, is_strong,
 };
+use crate::answer_memory::AnswerMemory;
 use crate::budgets::RetryBudgets;
 use crate::clients::ClientServer;
 use crate::counted_store::CountedStore;
@@ -202,6 +203,7 @@
                     pool: ConnectionPool::default(),
                     clock: Arc::clone(&self.clock),
                     names: *self.platform.headers(),
+                    memory: AnswerMemory::new(self.settings.memory_mb),
                 },
                 budgets: RetryBudgets::new(Arc::clone(&self.bounds)),
                 quarantine: Mutex::new(QuarantineList::new(SUSPECT_DURATION)),
@@ -354,6 +356,7 @@
             ("ready", updated.ready != current.ready),
             ("internal", updated.internal != current.internal),
             ("processor", updated.millicores != current.millicores),
+            ("memory", updated.memory_mb != current.memory_mb),
             ("link", updated.link_mbps != current.link_mbps),
         ];
         let after_restart = changes.into_iter().filter(|(_, is_changed)| *is_changed);
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -106,8 +106,6 @@
     is_leader_feed_live: bool,
     /// Since when it does not.
     leader_feed_lost_at: Option<Moment>,
-    /// Number of hosts that the leader considers live.
-    host_count: u32,
     /// The term of this host while it leads.
     leading_term: Option<u64>,
     standbys: Vec<String>,
@@ -147,7 +145,6 @@
                 is_feed_live: true,
                 is_leader_feed_live: false,
                 leader_feed_lost_at: None,
-                host_count: 1,
                 leading_term: None,
                 standbys: Vec::new(),
                 hosts: IndexMap::new(),
@@ -204,11 +201,6 @@
         is_live && lost_at.is_none_or(|at| now - at < loss_grace)
     }
 
-    /// Returns the number of hosts, as far as known.
-    pub(crate) fn host_count(&self) -> u32 {
-        self.state.lock().host_count
-    }
-
     /// Returns the state that the leader of `term` left behind, if it announced its
     /// end.
     pub(crate) fn announced_end(&self, term: u64) -> Option<PreviousTerm> {
@@ -405,7 +397,6 @@
             None => Some(now),
             earlier => earlier,
         };
-        state.host_count = reply.host_count;
         state.leader_seen_at = Some(now);
         true
     }
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -19,6 +19,7 @@
 use sheet::RouteSheet;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use store::{FeedReply, RowPage, RowStore, StoreError, TableRow};
 
@@ -57,10 +58,9 @@
 const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(80);
 /// Interval at which a host that starts checks what it has been told.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
-/// Number of hosts above which the maximum delay after failed calls grows in proportion,
-/// so that the total rate of calls stays the same. Others notice the store's return and
-/// tell them.
-const FULL_RATE_HOSTS: u32 = 40;
+/// Interval at which the follower of the entries checks whether that of the sheet has
+/// reached the store again.
+const REGAIN_CHECK_INTERVAL: Duration = Duration::from_millis(40);
 /// Time for which another host may have a newer sheet before this host fetches the table
 /// again. A working feed delivers it within the batch interval.
 const MAX_SHEET_LAG: Duration = Duration::from_secs(1);
@@ -91,6 +91,8 @@
     /// Asks the follower of the sheet to fetch the table again, as its feed is silent.
     refetch_sender: Sender<()>,
     refetch_receiver: Receiver<()>,
+    /// Whether the last call for the sheet failed.
+    is_sheet_failing: AtomicBool,
     state: Mutex<ReplicaState>,
 }
 
@@ -130,6 +132,7 @@
             random,
             view,
             metrics,
+            is_sheet_failing: AtomicBool::new(false),
             state: Mutex::new(ReplicaState {
                 fleet: FleetView::new(timing),
                 owner_versions: IndexMap::new(),
@@ -632,8 +635,9 @@
                     is_failing = true;
                     self.set_feed_live(false);
                     let random_factor = 0.75 + 0.5 * self.replica.random.fraction();
-                    async_std::task::sleep(backoff.mul_f64(random_factor)).await;
-                    backoff = (backoff * 2).min(self.max_backoff());
+                    self.wait_after_failure(backoff.mul_f64(random_factor))
+                        .await;
+                    backoff = (backoff * 2).min(MAX_BACKOFF);
                 }
             }
         }
@@ -720,8 +724,23 @@
     }
 
     fn set_feed_live(&self, is_live: bool) {
-        if self.table == FollowedTable::Entries {
-            self.peers.set_feed_live(is_live);
+        match self.table {
+            FollowedTable::Entries => self.peers.set_feed_live(is_live),
+            FollowedTable::Sheet => self
+                .replica
+                .is_sheet_failing
+                .store(!is_live, Ordering::Relaxed),
+        }
+    }
+
+    /// Waits before the next call to a store that has failed. While the sheet can't be
+    /// read either, its follower alone calls, as each refused call has a cost.
+    async fn wait_after_failure(&self, backoff: Duration) {
+        async_std::task::sleep(backoff).await;
+        while self.table == FollowedTable::Entries
+            && self.replica.is_sheet_failing.load(Ordering::Relaxed)
+        {
+            async_std::task::sleep(REGAIN_CHECK_INTERVAL).await;
         }
     }
 
@@ -732,15 +751,6 @@
             BATCH_INTERVAL
         }
     }
-
-    /// Returns the maximum delay after failed calls.
-    fn max_backoff(&self) -> Duration {
-        if self.is_store_reader() || self.peers.is_backup_poller() {
-            return MAX_BACKOFF;
-        }
-        let host_count = self.peers.host_count().max(FULL_RATE_HOSTS);
-        MAX_BACKOFF.mul_f64(f64::from(host_count) / f64::from(FULL_RATE_HOSTS))
-    }
 }
 
 /// Reads the owners from the store while the leader is silent, for as long as the
--- a/crates/h1/src/connection.rs
+++ b/crates/h1/src/connection.rs
@@ -12,6 +12,9 @@
 
 const READ_BUFFER_BYTES: usize = 16 << 10;
 const MAX_PART_BYTES: u64 = 64 << 10;
+/// Maximum number of interim responses to one request; a peer in trouble may send them
+/// without end.
+const MAX_INTERIM_RESPONSES: u32 = 16;
 
 /// A connection with a read buffer.
 pub struct Connection<S> {
@@ -81,21 +84,23 @@
 
     /// Reads the head of the final response to a request with method `method`.
     ///
-    /// Interim responses (1xx) are skipped.
+    /// Up to [`MAX_INTERIM_RESPONSES`] interim responses (1xx) are skipped.
     ///
     /// # Errors
     ///
-    /// Fails when the head is malformed, ambiguous, too large or truncated.
+    /// Fails when the head is malformed, ambiguous, too large or truncated, or when it
+    /// does not follow.
     pub async fn read_response(
         &mut self,
         limits: &HeadLimits,
         method: &str,
     ) -> Result<ResponseHead> {
-        loop {
+        for _ in 0..=MAX_INTERIM_RESPONSES {
             if let ResponsePart::Final(head) = self.read_response_part(limits, method).await? {
                 return Ok(head);
             }
         }
+        Err(Error::Malformed("too many interim responses"))
     }
 
     /// Reads the next interim or final response to a request with method `method`.
@@ -177,13 +182,16 @@
 
     /// Reads a line and returns it without its line end.
     ///
-    /// Fails if more than `max_bytes` bytes are buffered without a line end.
+    /// Fails if the line has more than `max_bytes` bytes.
     pub(crate) async fn read_line(&mut self, max_bytes: usize) -> Result<String> {
         let mut scanned = 0;
         loop {
             let bytes = self.buffered();
             if let Some(at) = bytes[scanned..].iter().position(|b| *b == b'\n') {
                 let end = scanned + at;
+                if end > max_bytes {
+                    return Err(Error::Malformed("line too long"));
+                }
                 let line = bytes[..end].strip_suffix(b"\r");
                 let line = line.ok_or(Error::Malformed("line does not end with CRLF"))?;
                 let text = std::str::from_utf8(line)
