Contain panics, and keep listeners and threads alive

Cause: a panic ended its task silently; in the task that receives the other hosts' messages or that leads it would leave a host running and deaf. Listeners of the own platform form ended at the first failed accept. Two sharded services reset each other's count of candidates.

Change: TaskScope logs panics and makes the tasks of a host anew; a new leader loop has a run of its own, so that it leads in a new term. One accept function for all listeners tries again. Empty lines count towards the limit of a head. Candidates are counted by service.

--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -4,16 +4,12 @@
 use crate::dispatch::Dispatcher;
 use async_std::net::TcpListener;
 use kernel::TaskScope;
-use log::warn;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
 
 /// Maximum total size of the bodies held at a time, in bytes; a quarter of a small
 /// host's memory.
 const MAX_TOTAL_BODY_BYTES: u64 = 40 << 20;
-/// Delay after a failed accept, which happens when file descriptors run out.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Reads requests from clients and writes their answers.
 #[derive(Clone, Debug)]
@@ -103,20 +99,9 @@
     }
 
     /// Accepts connections until the scope is closed.
-    pub(crate) async fn accept(self, listener: TcpListener, scope: TaskScope) {
+    pub(crate) async fn accept(self, listener: Arc<TcpListener>, scope: TaskScope) {
         loop {
-            let stream = match listener.accept().await {
-                Ok((stream, _peer)) => stream,
-                Err(error) => {
-                    warn!(target: "clients", "accept failed: {error}");
-                    async_std::task::sleep(ACCEPT_RETRY_DELAY).await;
-                    continue;
-                }
-            };
-            if let Err(error) = stream.set_nodelay(true) {
-                warn!(target: "clients", "connection dropped, can't set TCP_NODELAY: {error}");
-                continue;
-            }
+            let stream = h1::accept(&listener, "clients").await;
             let connection = ClientConnection::new(self.clone(), stream);
             scope.spawn(connection.serve());
         }
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -225,8 +225,8 @@
             metrics: self.metrics.clone(),
         });
         let scope = &self.scope;
-        scope.spawn(serve_pages(ready, ready_page, scope.clone()));
-        scope.spawn(serve_pages(metrics, metrics_page, scope.clone()));
+        spawn_pages(scope, "ready", ready, ready_page);
+        spawn_pages(scope, "metrics", metrics, metrics_page);
     }
 
     fn spawn_followers(&self, replica: &Arc<StoreReplica>) {
@@ -237,7 +237,7 @@
             (FollowedTable::Entries, tables.entries),
         ];
         for (table, name) in followed_tables {
-            let follower = TableFollower {
+            let follower = Arc::new(TableFollower {
                 replica: Arc::clone(replica),
                 store: Arc::clone(&store),
                 peers: Arc::clone(&self.peers),
@@ -245,15 +245,19 @@
                 is_strong: is_strong(self.settings.strength()),
                 table,
                 name,
-            };
-            self.scope.spawn(follower.run());
+            });
+            self.scope
+                .spawn_restarting("follower", move || Arc::clone(&follower).run());
         }
-        self.scope.spawn(poll_owners(
-            Arc::clone(replica),
-            store,
-            Arc::clone(&self.peers),
-            tables.owners,
-        ));
+        let (replica, peers) = (Arc::clone(replica), Arc::clone(&self.peers));
+        self.scope.spawn_restarting("owners", move || {
+            poll_owners(
+                Arc::clone(&replica),
+                Arc::clone(&store),
+                Arc::clone(&peers),
+                tables.owners.clone(),
+            )
+        });
     }
 
     fn spawn_leader(
@@ -268,7 +272,7 @@
             pool: Arc::new(ConnectionPool::default()),
             timing: GrantTiming::with_max_grant(self.settings.bounds.longest_hold),
         };
-        let leader = LeaderLoop::new(LeaderContext {
+        let context = LeaderContext {
             store: Arc::clone(&self.store),
             platform: Arc::clone(&self.platform),
             replica,
@@ -283,8 +287,9 @@
             is_stopping: Arc::clone(&self.is_stopping),
             random: Arc::clone(&self.random),
             bounds: Arc::clone(&self.bounds),
-        });
-        self.scope.spawn(leader.run());
+        };
+        self.scope
+            .spawn_restarting("leader", move || LeaderLoop::new(context.clone()).run());
     }
 }
 
@@ -301,7 +306,13 @@
         let dispatcher = context.build_dispatcher();
         let clients = ClientServer::new(dispatcher.clone());
         let scope = &context.scope;
-        scope.spawn(clients.clone().accept(sockets.clients, scope.clone()));
+        let (listener, server) = (Arc::new(sockets.clients), clients.clone());
+        let connections = scope.clone();
+        scope.spawn_restarting("clients", move || {
+            server
+                .clone()
+                .accept(Arc::clone(&listener), connections.clone())
+        });
         context.spawn_pages(sockets.ready, sockets.metrics, &replica);
         context.spawn_followers(&replica);
         let report_channel = ReportChannel {
@@ -313,14 +324,17 @@
             strength: context.settings.strength(),
             budget: Arc::new(SendBudget::new(context.settings.link_mbps)),
         };
-        scope.spawn(report_channel.clone().send_reports());
-        scope.spawn(report_channel.clone().receive());
+        let channel = report_channel.clone();
+        scope.spawn_restarting("reports", move || channel.clone().send_reports());
+        let channel = report_channel.clone();
+        scope.spawn_restarting("messages", move || channel.clone().receive());
         let (host_replica, host_dispatcher) = (Arc::clone(&replica), dispatcher.clone());
-        scope.spawn(sweep(
-            Arc::clone(&replica),
-            dispatcher.clone(),
-            scope.clone(),
-        ));
+        let (swept_replica, swept_dispatcher) = (Arc::clone(&replica), dispatcher.clone());
+        let probes = scope.clone();
+        scope.spawn_restarting("sweep", move || {
+            let replica = Arc::clone(&swept_replica);
+            sweep(replica, swept_dispatcher.clone(), probes.clone())
+        });
         context.spawn_leader(replica, dispatcher, report_channel);
         let settings = context.settings;
         info!(
@@ -391,6 +405,23 @@
     }
 }
 
+fn spawn_pages(
+    scope: &TaskScope,
+    name: &'static str,
+    listener: TcpListener,
+    source: Arc<dyn PageSource>,
+) {
+    let listener = Arc::new(listener);
+    let connections = scope.clone();
+    scope.spawn_restarting(name, move || {
+        serve_pages(
+            Arc::clone(&listener),
+            Arc::clone(&source),
+            connections.clone(),
+        )
+    });
+}
+
 /// Returns for how long upstreams without entries stay in use.
 fn fleet_timing(bounds: &FrontBounds) -> FleetTiming {
     let defaults = FleetTiming::default();
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -52,7 +52,7 @@
 type LedgerReply = (ServiceName, GrantCall, CallReply);
 
 /// Dependencies of the leader loop.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct LeaderContext {
     pub platform: Arc<dyn UserPlatform>,
     pub store: Arc<dyn RowStore>,
@@ -97,8 +97,8 @@
     failed_polls: u32,
     next_renewal_at: Moment,
     next_step_at: Moment,
-    /// Number of candidates, and when it last changed.
-    candidate_count: (usize, Moment),
+    /// Number of candidates of each service, and when it last changed.
+    candidate_counts: IndexMap<ServiceName, (usize, Moment)>,
     was_leading: bool,
     was_feed_live: bool,
     /// Number of terms that this host has ended; calls of ended terms are no longer
@@ -137,7 +137,7 @@
             failed_polls: 0,
             next_renewal_at: Moment::ZERO,
             next_step_at: Moment::ZERO,
-            candidate_count: (0, Moment::ZERO),
+            candidate_counts: IndexMap::new(),
             was_leading: false,
             was_feed_live: true,
             ended_terms: Arc::default(),
@@ -155,6 +155,8 @@
 
     /// Runs until the host stops, then gives up the lease.
     pub(crate) async fn run(mut self) {
+        // A loop that ended by a panic may have led.
+        self.context.peers.set_leading(None, &[]);
         let mut poll_at = self.now();
         let mut had_leader = false;
         loop {
@@ -365,10 +367,14 @@
         if self.ledgers.contains_key(service) {
             return true;
         }
-        if self.candidate_count.0 != count {
-            self.candidate_count = (count, now);
+        let known = self
+            .candidate_counts
+            .entry(service.clone())
+            .or_insert((count, now));
+        if known.0 != count {
+            *known = (count, now);
         }
-        count > 0 && now - self.candidate_count.1 >= SETTLE_DURATION
+        count > 0 && now - known.1 >= SETTLE_DURATION
     }
 
     /// Updates the addresses of all upstreams when entries have changed, and tells the
--- a/crates/front/src/pages.rs
+++ b/crates/front/src/pages.rs
@@ -4,14 +4,12 @@
 use async_std::net::{TcpListener, TcpStream};
 use h1::{Connection, HeadLimits, HeaderList, encode_response_head};
 use kernel::TaskScope;
-use log::warn;
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Maximum time for which a connection stays open without a request.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Answers a request for a path with a status and a text.
 pub(crate) trait PageSource: Send + Sync + fmt::Debug {
@@ -21,21 +19,14 @@
 
 /// Serves pages until the scope is closed.
 pub(crate) async fn serve_pages(
-    listener: TcpListener,
+    listener: Arc<TcpListener>,
     source: Arc<dyn PageSource>,
     scope: TaskScope,
 ) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _peer)) => {
-                let source = Arc::clone(&source);
-                scope.spawn(async move { serve_connection(stream, &*source).await });
-            }
-            Err(error) => {
-                warn!(target: "pages", "accept failed: {error}");
-                async_std::task::sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
+        let stream = h1::accept(&listener, "pages").await;
+        let source = Arc::clone(&source);
+        scope.spawn(async move { serve_connection(stream, &*source).await });
     }
 }
 
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -605,7 +605,7 @@
 
 impl TableFollower {
     /// Runs until its scope closes.
-    pub(crate) async fn run(self) {
+    pub(crate) async fn run(self: Arc<Self>) {
         let mut backoff = MIN_BACKOFF;
         let mut is_failing = false;
         let mut step = self.start().await;
--- a/crates/gate/src/clients.rs
+++ b/crates/gate/src/clients.rs
@@ -49,12 +49,12 @@
         }
     }
 
-    /// Accepts connections until the listener fails or the scope is closed.
+    /// Accepts connections until the scope is closed.
     pub async fn accept(self, listener: TcpListener) {
-        while let Ok((stream, _)) = listener.accept().await {
+        loop {
+            let stream = h1::accept(&listener, "clients").await;
             let max_connections = self.ingress.limits().max_connections;
-            let is_full = self.connections.load(Ordering::Relaxed) >= max_connections;
-            if is_full || stream.set_nodelay(true).is_err() {
+            if self.connections.load(Ordering::Relaxed) >= max_connections {
                 continue;
             }
             let server = self.clone();
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -93,12 +93,10 @@
         }
     }
 
-    /// Accepts connections until the listener fails or the scope is closed.
+    /// Accepts connections until the scope is closed.
     pub async fn accept(self, listener: TcpListener) {
-        while let Ok((stream, _)) = listener.accept().await {
-            if stream.set_nodelay(true).is_err() {
-                continue;
-            }
+        loop {
+            let stream = h1::accept(&listener, "peers").await;
             let server = self.clone();
             self.scope.spawn(async move {
                 server.serve(stream).await;
--- a/crates/h1/src/connection.rs
+++ b/crates/h1/src/connection.rs
@@ -214,9 +214,15 @@
     /// bytes; returns `None` if the connection has ended before the first byte.
     async fn read_head_bytes(&mut self, limits: &HeadLimits) -> Result<Option<usize>> {
         let mut scanned = 0;
+        let mut skipped = 0;
         loop {
             if scanned == 0 {
-                self.skip_empty_lines();
+                skipped += self.skip_empty_lines();
+                // Empty lines without end would keep this task, and with it the thread,
+                // busy for as long as they arrive.
+                if skipped > limits.max_bytes {
+                    return Err(Error::HeadTooLarge);
+                }
             }
             if let Some(end) = find_head_end(self.buffered(), scanned) {
                 if end > limits.max_bytes {
@@ -237,10 +243,14 @@
         }
     }
 
-    fn skip_empty_lines(&mut self) {
-        while self.buffered().starts_with(b"\r\n") {
-            self.consume(2);
+    /// Skips empty lines before a head; returns their size in bytes.
+    fn skip_empty_lines(&mut self) -> usize {
+        let lines = self.buffered().chunks_exact(2);
+        let skipped = lines.take_while(|line| *line == b"\r\n").count() * 2;
+        if skipped > 0 {
+            self.consume(skipped);
         }
+        skipped
     }
 
     /// Waits until there are bytes to read; returns `false` at the end of the
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -19,6 +19,7 @@
 //! });
 //! ```
 
+mod accept;
 mod body;
 mod connection;
 mod dial;
@@ -26,6 +27,7 @@
 mod head;
 mod write;
 
+pub use accept::accept;
 pub use body::{BodyLength, BodyReader};
 pub use connection::Connection;
 pub use dial::{DialError, dial, enable_keepalive, is_idle, reset};
--- a/crates/host/src/admin.rs
+++ b/crates/host/src/admin.rs
@@ -55,10 +55,8 @@
 /// The listener of `tide` does not set it, and answers would then wait for delayed
 /// acknowledgements.
 async fn accept(app: tide::Server<AdminState>, listener: TcpListener, scope: TaskScope) {
-    while let Ok((stream, _)) = listener.accept().await {
-        if stream.set_nodelay(true).is_err() {
-            continue;
-        }
+    loop {
+        let stream = h1::accept(&listener, "admin").await;
         let app = app.clone();
         scope.spawn(async move {
             let serving = async_h1::accept(stream, |request| app.respond(request));
--- a/crates/host/src/rpc.rs
+++ b/crates/host/src/rpc.rs
@@ -14,15 +14,13 @@
 use wire::control_capnp::{control, entry};
 use wire::{WireError, read_heartbeat, read_rows, write_heartbeat, write_rows};
 
-/// Accepts control links until the listener fails.
+/// Accepts control links until the scope is closed.
 pub(crate) async fn accept_links(hub: Rc<ControlHub>, secret: PeerSecret, listener: TcpListener) {
-    while let Ok((stream, _)) = listener.accept().await {
+    loop {
+        let stream = h1::accept(&listener, "control").await;
         if hub.scope.is_closed() {
             return;
         }
-        if stream.set_nodelay(true).is_err() {
-            continue;
-        }
         serve_link(Rc::clone(&hub), secret.clone(), stream);
     }
 }
--- a/crates/kernel/src/scope.rs
+++ b/crates/kernel/src/scope.rs
@@ -1,8 +1,16 @@
 //! Scopes of tasks that end together.
 
 use async_channel::{Receiver, Sender, bounded};
+use futures::FutureExt;
 use futures::future::{Either, select};
+use log::error;
+use std::any::Any;
+use std::panic::AssertUnwindSafe;
 use std::pin::pin;
+use std::time::Duration;
+
+/// Delay before a task that has panicked is made anew.
+const RESTART_DELAY: Duration = Duration::from_millis(100);
 
 /// A scope of tasks that are dropped when it is closed.
 #[derive(Clone, Debug)]
@@ -38,6 +46,8 @@
     }
 
     /// Spawns a task of the scope on the process's executor.
+    ///
+    /// A panic ends the task alone and is logged.
     pub fn spawn<F>(&self, task: F)
     where
         F: Future<Output = ()> + Send + 'static,
@@ -45,8 +55,27 @@
         let scope = self.clone();
         async_std::task::spawn(async move {
             let closed = pin!(scope.closed());
-            match select(pin!(task), closed).await {
-                Either::Left(_) | Either::Right(_) => {}
+            let task = pin!(AssertUnwindSafe(task).catch_unwind());
+            if let Either::Left((Err(panic), _)) = select(task, closed).await {
+                log_panic("unnamed", &*panic);
+            }
+        });
+    }
+
+    /// Spawns a task that the process can't do without: after a panic, `make_task` makes
+    /// it anew.
+    ///
+    /// Without this, a single message that makes the task panic would leave the process
+    /// running but deaf.
+    pub fn spawn_restarting<M, F>(&self, name: &'static str, make_task: M)
+    where
+        M: Fn() -> F + Send + 'static,
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.spawn(async move {
+            while let Err(panic) = AssertUnwindSafe(make_task()).catch_unwind().await {
+                log_panic(name, &*panic);
+                async_std::task::sleep(RESTART_DELAY).await;
             }
         });
     }
@@ -57,3 +86,11 @@
         Self::new()
     }
 }
+
+fn log_panic(task: &str, panic: &(dyn Any + Send)) {
+    let text = panic
+        .downcast_ref::<&str>()
+        .copied()
+        .or_else(|| panic.downcast_ref::<String>().map(String::as_str));
+    error!(target: "task", "task={task} state=panicked error=\"{}\"", text.unwrap_or("unknown"));
+}
--- a/crates/kernel/tests/basics.rs
+++ b/crates/kernel/tests/basics.rs
@@ -7,7 +7,7 @@
 };
 use rstest::rstest;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 #[test]
@@ -110,3 +110,39 @@
         panic!("the task outlives its scope");
     });
 }
+
+#[test]
+fn spawn_task_that_panics_ends_alone() {
+    block_on(async {
+        let scope = TaskScope::new();
+        let has_run = Arc::new(AtomicBool::new(false));
+        let flag = Arc::clone(&has_run);
+        scope.spawn(async { panic!("on purpose") });
+        scope.spawn(async move {
+            async_std::task::sleep(Duration::from_millis(50)).await;
+            flag.store(true, Ordering::SeqCst);
+        });
+        async_std::task::sleep(Duration::from_millis(200)).await;
+        assert!(has_run.load(Ordering::SeqCst));
+        assert!(!scope.is_closed());
+    });
+}
+
+#[test]
+fn spawn_restarting_task_runs_again_after_a_panic() {
+    block_on(async {
+        let scope = TaskScope::new();
+        let starts = Arc::new(AtomicU32::new(0));
+        let counter = Arc::clone(&starts);
+        scope.spawn_restarting("test", move || {
+            let counter = Arc::clone(&counter);
+            async move {
+                let start = counter.fetch_add(1, Ordering::SeqCst);
+                assert!(start >= 2, "on purpose");
+                std::future::pending::<()>().await;
+            }
+        });
+        async_std::task::sleep(Duration::from_millis(600)).await;
+        assert_eq!(starts.load(Ordering::SeqCst), 3);
+    });
+}
