--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -391,11 +391,18 @@
         async_std::task::sleep(notice_duration).await;
         self.clients.close();
         let mut elapsed = notice_duration;
-        while self.clients.in_flight() > 0 && elapsed < max_duration {
-            async_std::task::sleep(STOP_POLL_INTERVAL).await;
-            elapsed += STOP_POLL_INTERVAL;
+        loop {
+            while self.clients.in_flight() > 0 && elapsed < max_duration {
+                async_std::task::sleep(STOP_POLL_INTERVAL).await;
+                elapsed += STOP_POLL_INTERVAL;
+            }
+            async_std::task::sleep(LINGER_DURATION).await;
+            elapsed += LINGER_DURATION;
+            // A request may have arrived while the last answers left.
+            if self.clients.in_flight() == 0 || elapsed >= max_duration {
+                break;
+            }
         }
-        async_std::task::sleep(LINGER_DURATION).await;
         self.scope.close();
         info!(
             target: "host",
