Explain what became of a request from the hosts' logs; waits for moves follow the work

Cause: the users ask for the way from a request's id to its cause; it was described for grep alone. The wait for keys on the move was fixed at 600 ms, which fits work of 0.2 s.

Change: trestlectl explain ID [LOG...] prints the lines of all hosts on a request, its upstream, its key and the leader, and the cause in a sentence. Requests wait for a move for 300 ms and 1.5 mean service times.

Measured: trestlectl/tests/cli.rs plays three kinds of failure; place/tests/moves.rs unchanged for a service time of 200 ms.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -413,8 +413,12 @@
             .and_then(|map| map.range_of(key));
         let first = range.map_or(0, |range| range.first);
         let Some(upstream) = range.and_then(|range| self.usable_holder(now, range, view)) else {
+            let service = &request.service;
+            let service_time = self.state.selector.lock().mean_service_time(service);
+            let service_time = service_time.unwrap_or_default();
             let mut moves = self.state.moves.lock();
-            return DispatchTarget::Moving(moves.remaining_wait(now, &request.service, first));
+            let remaining = moves.remaining_wait(now, service, first, service_time);
+            return DispatchTarget::Moving(remaining);
         };
         self.state.moves.lock().record_held(&request.service, first);
         self.select_target(now, request, &[self.state.candidate(now, upstream)], view)
--- a/crates/place/src/moves.rs
+++ b/crates/place/src/moves.rs
@@ -9,9 +9,12 @@
 use kernel::{Moment, ServiceName};
 use std::time::Duration;
 
-/// Maximum wait for keys that change their holder; a move takes as long as the running
-/// requests, a few hundred milliseconds.
-const MAX_MOVE_WAIT: Duration = Duration::from_millis(600);
+/// Time that a move takes beside the running requests: two writes of the row, a release
+/// and a grant.
+const MOVE_OVERHEAD: Duration = Duration::from_millis(300);
+/// Time for which requests that are running when the move begins go on, in mean service
+/// times; few take longer.
+const RUNNING_SERVICE_TIMES: f64 = 1.5;
 /// Time without a request after which the wait of a range starts anew with the next
 /// one.
 const MAX_IDLE: Duration = Duration::from_secs(2);
@@ -31,8 +34,16 @@
 
 impl MoveTracker {
     /// Returns how much longer requests may wait for the range that begins at `first`
-    /// and has no holder now; zero after it has had none for long.
-    pub fn remaining_wait(&mut self, now: Moment, service: &ServiceName, first: u16) -> Duration {
+    /// and has no holder now; zero after it has had none for longer than a move takes.
+    ///
+    /// `service_time` is the mean service time of the service.
+    pub fn remaining_wait(
+        &mut self,
+        now: Moment,
+        service: &ServiceName,
+        first: u16,
+        service_time: Duration,
+    ) -> Duration {
         let fresh = UnheldRange {
             unheld_since: now,
             last_request_at: now,
@@ -42,7 +53,8 @@
             *range = fresh;
         }
         range.last_request_at = now;
-        MAX_MOVE_WAIT.saturating_sub(now - range.unheld_since)
+        let max_wait = MOVE_OVERHEAD + service_time.mul_f64(RUNNING_SERVICE_TIMES);
+        max_wait.saturating_sub(now - range.unheld_since)
     }
 
     /// Records that the range that begins at `first` has a holder.
--- a/crates/place/tests/moves.rs
+++ b/crates/place/tests/moves.rs
@@ -5,6 +5,9 @@
 use rstest::rstest;
 use std::time::Duration;
 
+/// Mean service time of the service, so that a move takes up to 600 ms.
+const SERVICE_TIME: Duration = Duration::from_millis(200);
+
 /// Results of the simulated requests.
 #[derive(Default)]
 struct Outcome {
@@ -29,7 +32,10 @@
             continue;
         }
         waiting.retain(|sent_ms| {
-            if !tracker.remaining_wait(now, &service, 512).is_zero() {
+            if !tracker
+                .remaining_wait(now, &service, 512, SERVICE_TIME)
+                .is_zero()
+            {
                 return true;
             }
             outcome.refused += 1;
@@ -62,12 +68,25 @@
     let service = ServiceName::from("charts");
     let mut tracker = MoveTracker::default();
     let at = |ms: u64| Moment::from_millis(1_000 + ms);
-    let max_wait = tracker.remaining_wait(at(0), &service, 0);
-    assert!(tracker.remaining_wait(at(700), &service, 0).is_zero());
-    assert_eq!(tracker.remaining_wait(at(5_000), &service, 0), max_wait);
+    let max_wait = tracker.remaining_wait(at(0), &service, 0, SERVICE_TIME);
+    assert!(
+        tracker
+            .remaining_wait(at(700), &service, 0, SERVICE_TIME)
+            .is_zero()
+    );
+    assert_eq!(
+        tracker.remaining_wait(at(5_000), &service, 0, SERVICE_TIME),
+        max_wait
+    );
     tracker.record_held(&service, 0);
-    assert_eq!(tracker.remaining_wait(at(5_700), &service, 0), max_wait);
+    assert_eq!(
+        tracker.remaining_wait(at(5_700), &service, 0, SERVICE_TIME),
+        max_wait
+    );
     tracker.prune(at(8_000));
-    assert_eq!(tracker.remaining_wait(at(8_001), &service, 0), max_wait);
+    assert_eq!(
+        tracker.remaining_wait(at(8_001), &service, 0, SERVICE_TIME),
+        max_wait
+    );
     assert!(max_wait > Duration::from_millis(500));
 }
--- a/crates/trestlectl/src/main.rs
+++ b/crates/trestlectl/src/main.rs
@@ -1,6 +1,7 @@
 //! Command line tool for operators.
 
 mod admin;
+mod explain;
 mod sheets;
 mod slopes;
 mod traces;
@@ -18,6 +19,7 @@
     status                  show the status of a host
     drain [UPSTREAM]        drain an upstream, or the host itself
     domain lost|back NAME   declare a failure domain permanently lost, or available again
+    explain ID [LOG...]     explain by the hosts' logs what became of a request
     replay TRACE            replay a trace and check its expected outcomes
     slopes                  measure the cost of the control plane by deployment size
     trial                   run a load test on a small deployment on loopback
@@ -74,6 +76,7 @@
         "status" => admin::status(rest),
         "drain" => admin::drain(rest),
         "domain" => admin::domain(rest),
+        "explain" => explain::run(rest),
         "replay" => traces::run(rest),
         "slopes" => slopes::run(rest),
         "trial" => trials::run(rest),
--- a/crates/trestlectl/tests/cli.rs
+++ b/crates/trestlectl/tests/cli.rs
@@ -28,6 +28,8 @@
 #[case::missing_sheet(&["sheet", "submit", "../../examples/none.json"], 1)]
 #[case::unknown_fault(&["trial", "--seconds", "1", "--faults", "surprise"], 2)]
 #[case::invalid_number(&["trial", "--seconds", "soon"], 2)]
+#[case::no_request(&["explain"], 2)]
+#[case::missing_log(&["explain", "r-1", "/nonexistent.log"], 1)]
 #[case::no_trace(&["replay"], 2)]
 #[case::missing_trace(&["replay", "/nonexistent.jsonl"], 1)]
 #[case::domain_without_name(&["domain", "lost"], 2)]
@@ -90,3 +92,36 @@
         std::fs::remove_file(&file).expect("removed");
     }
 }
+
+/// Three kinds of failed request, each explained by the lines of two hosts.
+#[rstest]
+#[case::overloaded("a1", "cause=overloaded", &["request=a1"])]
+#[case::lost("b2", "cause=upstream-lost", &["request=b2", "upstream=i-9 state=missing"])]
+#[case::moving("c3", "cause=shard-moving", &["request=c3", "call=release", "state=taken"])]
+fn explain_prints_related_lines_and_the_cause(
+    #[case] id: &str,
+    #[case] cause: &str,
+    #[case] parts: &[&str],
+) {
+    let output = run(&[
+        "explain",
+        id,
+        "tests/logs/front-1.txt",
+        "tests/logs/front-2.txt",
+    ]);
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{}", stderr_text(&output));
+    for part in parts {
+        assert!(text.contains(part), "{part} is missing: {text}");
+    }
+    let last = text.lines().last().expect("a sentence");
+    assert!(last.starts_with(cause), "{last}");
+    assert!(!text.contains("request=other"), "{text}");
+}
+
+#[test]
+fn explain_unknown_request_fails() {
+    let output = run(&["explain", "z9", "tests/logs/front-1.txt"]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(stderr_text(&output).contains("z9"));
+}
