Tell refused clients to return when keys or upstreams are likely back

Cause: requests for keys without a holder, and for upstreams that can't be reached, were told to return after 0.4 s, also while a lease of seconds had to lapse. Clients return once or twice, and were refused again.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -117,8 +117,13 @@
 enum DispatchTarget {
     /// The upstream, and the expected time until its answer.
     Send(Box<UpstreamEntry>, Duration),
-    /// The key is moving; the request may wait for this long.
-    Moving(Duration),
+    /// The key has no holder.
+    Moving {
+        /// Time for which the request may wait for one.
+        remaining_wait: Duration,
+        /// Time after which a client that is refused should return.
+        retry_after: Duration,
+    },
     Refused(Refusal),
 }
 
@@ -231,9 +236,12 @@
             let (entry, expected) = match self.find_target(now, request, history) {
                 DispatchTarget::Send(entry, expected) => (entry, expected),
                 DispatchTarget::Refused(refusal) => return Err(refusal),
-                DispatchTarget::Moving(remaining_wait) => {
+                DispatchTarget::Moving {
+                    remaining_wait,
+                    retry_after,
+                } => {
                     if remaining_wait.is_zero() {
-                        return Err(Refusal::new(Cause::ShardMoving).with_retry_after(RETRY_AFTER));
+                        return Err(Refusal::new(Cause::ShardMoving).with_retry_after(retry_after));
                     }
                     async_std::task::sleep(MOVE_POLL_INTERVAL).await;
                     continue;
@@ -417,8 +425,11 @@
             let service_time = self.state.selector.lock().mean_service_time(service);
             let service_time = service_time.unwrap_or_default();
             let mut moves = self.state.moves.lock();
-            let remaining = moves.remaining_wait(now, service, first, service_time);
-            return DispatchTarget::Moving(remaining);
+            let remaining_wait = moves.remaining_wait(now, service, first, service_time);
+            return DispatchTarget::Moving {
+                remaining_wait,
+                retry_after: moves.unheld_for(now, service, first).max(RETRY_AFTER),
+            };
         };
         self.state.moves.lock().record_held(&request.service, first);
         self.select_target(now, request, &[self.state.candidate(now, upstream)], view)
@@ -512,8 +523,9 @@
             Selection::Refuse { retry_after } => DispatchTarget::Refused(
                 Refusal::new(Cause::Overloaded).with_retry_after(retry_after),
             ),
-            Selection::Unreachable => DispatchTarget::Refused(
-                Refusal::new(Cause::UpstreamUnreachable).with_retry_after(RETRY_AFTER),
+            Selection::Unreachable { retry_after } => DispatchTarget::Refused(
+                Refusal::new(Cause::UpstreamUnreachable)
+                    .with_retry_after(retry_after.max(RETRY_AFTER)),
             ),
         }
     }
--- a/crates/place/src/moves.rs
+++ b/crates/place/src/moves.rs
@@ -57,6 +57,16 @@
         max_wait.saturating_sub(now - range.unheld_since)
     }
 
+    /// Returns for how long the range that begins at `first` has had no holder.
+    ///
+    /// A client that is refused should return after as long again: what has lasted for
+    /// seconds, such as a lease that has to lapse, seldom ends in the next moment, and a
+    /// client that returns too early is refused twice.
+    pub fn unheld_for(&self, now: Moment, service: &ServiceName, first: u16) -> Duration {
+        let range = self.unheld.get(&(service.clone(), first));
+        range.map_or(Duration::ZERO, |range| now - range.unheld_since)
+    }
+
     /// Records that the range that begins at `first` has a holder.
     pub fn record_held(&mut self, service: &ServiceName, first: u16) {
         if self.unheld.is_empty() {
--- a/crates/place/src/selector.rs
+++ b/crates/place/src/selector.rs
@@ -72,8 +72,11 @@
         /// Time after which a slot may be free.
         retry_after: Duration,
     },
-    /// No candidate can be reached at present.
-    Unreachable,
+    /// No candidate can be reached at present; one is tried again after this time.
+    Unreachable {
+        /// Time after which a candidate is tried again.
+        retry_after: Duration,
+    },
 }
 
 /// Loads of all upstreams as one host knows them.
@@ -185,7 +188,9 @@
             };
         }
         let Some(excess_ms) = ranking.least_excess_ms else {
-            return Selection::Unreachable;
+            return Selection::Unreachable {
+                retry_after: ranking.least_backoff.unwrap_or_default(),
+            };
         };
         if let [sole] = candidates
             && let Some(state) = self.upstreams.get_mut(&sole.id)
@@ -270,7 +275,9 @@
         let state = self.upstreams.entry(candidate.id.clone()).or_default();
         if state.is_in_backoff(now) {
             state.record_wanted();
-            return Judgment::Unreachable;
+            return Judgment::Unreachable {
+                backoff: state.backoff_remaining(now),
+            };
         }
         let estimate = LoadEstimate::new(now, state, candidate, work);
         let excess_ms = estimate.excess_ms(limits);
@@ -353,8 +360,8 @@
 /// Whether a candidate may be sent a request.
 #[derive(Clone, Copy, Debug)]
 enum Judgment {
-    /// No connection can be made to it at present.
-    Unreachable,
+    /// No connection can be made to it at present; it is tried again after this time.
+    Unreachable { backoff: Duration },
     /// It exceeds the limits by this time.
     NoRoom { excess_ms: f64 },
     /// It has room; the lowest score is the best.
@@ -372,13 +379,18 @@
     best: Option<(f64, f64, usize)>,
     /// Least time by which a candidate exceeds the limits, in milliseconds.
     least_excess_ms: Option<f64>,
+    /// Least time after which an unreachable candidate is tried again.
+    least_backoff: Option<Duration>,
 }
 
 impl Ranking {
     /// Adds a candidate whose score counts `factor` times.
     fn add(&mut self, index: usize, judgment: Judgment, factor: f64) {
         match judgment {
-            Judgment::Unreachable => {}
+            Judgment::Unreachable { backoff } => {
+                let least = self.least_backoff.unwrap_or(Duration::MAX);
+                self.least_backoff = Some(least.min(backoff));
+            }
             Judgment::NoRoom { excess_ms } => {
                 let least_ms = self.least_excess_ms.unwrap_or(f64::INFINITY);
                 self.least_excess_ms = Some(least_ms.min(excess_ms));
--- a/crates/place/src/state.rs
+++ b/crates/place/src/state.rs
@@ -217,6 +217,11 @@
         now < self.backoff_until
     }
 
+    /// Returns the time until the upstream is tried again.
+    pub(crate) fn backoff_remaining(&self, now: Moment) -> Duration {
+        self.backoff_until - now
+    }
+
     /// Records that a request would have been sent here if not for the backoff.
     pub(crate) fn record_wanted(&mut self) {
         self.is_wanted = true;
--- a/crates/place/tests/choice.rs
+++ b/crates/place/tests/choice.rs
@@ -164,7 +164,9 @@
     }
     assert_eq!(
         selector.choose(now, work.get(), &candidates[..1], &limits(400)),
-        Selection::Unreachable
+        Selection::Unreachable {
+            retry_after: Duration::from_millis(250)
+        }
     );
     let later = Moment::from_millis(1_300);
     assert!(matches!(
--- a/crates/place/tests/fleet/mod.rs
+++ b/crates/place/tests/fleet/mod.rs
@@ -202,7 +202,7 @@
                         .iter()
                         .position(|candidate| candidate.id == id)
                         .expect("known"),
-                    Selection::Refuse { .. } | Selection::Unreachable => {
+                    Selection::Refuse { .. } | Selection::Unreachable { .. } => {
                         self.count(request, 2);
                         return;
                     }
--- a/crates/place/tests/moves.rs
+++ b/crates/place/tests/moves.rs
@@ -90,3 +90,39 @@
     );
     assert!(max_wait > Duration::from_millis(500));
 }
+
+/// Clients that are refused while a lease lapses return once, after the time that they
+/// are told: with a wait as long as the keys have been without a holder, most are served
+/// then.
+#[test]
+fn unheld_for_lets_most_refused_clients_return_in_time() {
+    const LAPSE_MS: u64 = 4_400;
+    const MAX_RETRY_MS: u64 = 2_600;
+    let service = ServiceName::from("charts");
+    let mut tracker = MoveTracker::default();
+    let mut served = [0, 0];
+    let mut refused = 0;
+    for now_ms in (0..LAPSE_MS).step_by(20) {
+        let now = Moment::from_millis(10_000 + now_ms);
+        if !tracker
+            .remaining_wait(now, &service, 512, SERVICE_TIME)
+            .is_zero()
+        {
+            continue;
+        }
+        refused += 1;
+        let unheld_ms = tracker.unheld_for(now, &service, 512).as_millis() as u64;
+        for (index, retry_ms) in [400, unheld_ms.clamp(400, MAX_RETRY_MS)]
+            .into_iter()
+            .enumerate()
+        {
+            served[index] += u32::from(now_ms + retry_ms >= LAPSE_MS);
+        }
+    }
+    let [with_fixed_wait, with_growing_wait] = served;
+    assert!(with_growing_wait * 2 > refused, "{served:?} of {refused}");
+    assert!(
+        with_growing_wait > with_fixed_wait * 3,
+        "{served:?} of {refused}"
+    );
+}
