--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -9,6 +9,7 @@
 use crate::counted_store::CountedStore;
 use crate::dispatch::{DispatchState, Dispatcher};
 use crate::exchange::Exchanger;
+use crate::follower::{TableFollower, poll_owners};
 use crate::grant_client::GrantClient;
 use crate::leader::{LeaderContext, LeaderLoop};
 use crate::metrics::FrontMetrics;
@@ -16,7 +17,7 @@
 use crate::peers::PeerRegistry;
 use crate::pool::ConnectionPool;
 use crate::random::RandomSource;
-use crate::replica::{FollowedTable, StoreReplica, TableFollower, poll_owners};
+use crate::replica::{FollowedTable, StoreReplica};
 use crate::reports::ReportChannel;
 use crate::send_budget::SendBudget;
 use crate::view::SharedView;
@@ -186,7 +187,6 @@
         Arc::new(StoreReplica::new(
             Arc::clone(&self.platform),
             Arc::clone(&self.clock),
-            Arc::clone(&self.random),
             Arc::clone(&self.view),
             self.metrics.clone(),
             timing,
@@ -241,6 +241,8 @@
                 replica: Arc::clone(replica),
                 store: Arc::clone(&store),
                 peers: Arc::clone(&self.peers),
+                clock: Arc::clone(&self.clock),
+                random: Arc::clone(&self.random),
                 bounds: Arc::clone(&self.bounds),
                 is_strong: is_strong(self.settings.strength()),
                 table,
@@ -250,11 +252,13 @@
                 .spawn_restarting("follower", move || Arc::clone(&follower).run());
         }
         let (replica, peers) = (Arc::clone(replica), Arc::clone(&self.peers));
+        let random = Arc::clone(&self.random);
         self.scope.spawn_restarting("owners", move || {
             poll_owners(
                 Arc::clone(&replica),
                 Arc::clone(&store),
                 Arc::clone(&peers),
+                Arc::clone(&random),
                 tables.owners.clone(),
             )
         });
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -28,6 +28,7 @@
 mod counted_store;
 mod dispatch;
 mod exchange;
+mod follower;
 mod grant_client;
 mod host;
 mod leader;
@@ -43,6 +44,7 @@
 mod request;
 mod send_budget;
 mod view;
+mod wire_load;
 
 pub use adapter::{
     DecodeError, FrontBounds, FrontSettings, HeaderNames, LoadedPlatform, PlatformPlugin,
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -1,7 +1,8 @@
 //! What a host knows of the leader, and what the leader knows of the other hosts.
 
-use crate::message::{HostReport, KnownVersions, LeaderReply, WireLoad};
+use crate::message::{HostReport, KnownVersions, LeaderReply};
 use crate::random::RandomSource;
+use crate::wire_load::WireLoad;
 use async_channel::{Receiver, Sender, bounded};
 use async_std::future::timeout;
 use grant::{KeyLoads, PreviousTerm};
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -8,11 +8,12 @@
 use crate::dispatch::Dispatcher;
 use crate::message::{
     HostReport, KnownVersions, LeaderReply, MAX_DATAGRAM_BYTES, PeerMessage, Suspect, WireEntry,
-    WireLoad, WireObservation, WirePreviousTerm, WireSheet,
+    WirePreviousTerm, WireSheet,
 };
 use crate::peers::PeerRegistry;
 use crate::replica::StoreReplica;
 use crate::send_budget::SendBudget;
+use crate::wire_load::{WireLoad, WireObservation};
 use async_std::net::UdpSocket;
 use fleet::EntryChange;
 use grant::PreviousTerm;
--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -2,6 +2,7 @@
 //! to send.
 
 use crate::balance::{OwnerCandidate, assign_orphans, max_moves, merge_adjacent_ranges, rebalance};
+use crate::call_limit::CallLimit;
 use crate::{GrantTiming, Holder, KeyLoads, OwnedRange, OwnerMap, PreviousTerm};
 use indexmap::{IndexMap, IndexSet};
 use kernel::Moment;
@@ -16,11 +17,6 @@
 /// Maximum time between a decision and the sending of its call; half of the delivery
 /// time that [`GrantTiming::expiry_bound`] allows.
 const MAX_SEND_DELAY: Duration = Duration::from_millis(150);
-/// Initial limit on the calls that begin within [`MAX_SEND_DELAY`]. The limit adapts to
-/// what the host can send in time.
-const INITIAL_CALL_LIMIT: f64 = 64.0;
-/// Lower bound of the limit on calls.
-const MIN_CALL_LIMIT: f64 = 8.0;
 /// Interval between attempts to reach a silent upstream.
 const PROBE_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -149,10 +145,8 @@
     pending_map: Option<OwnerMap>,
     last_epoch: u64,
     next_call_id: u64,
-    /// Maximum number of calls that begin within [`MAX_SEND_DELAY`].
-    call_limit: f64,
-    /// When the limit was last reduced, if it ever was.
-    call_limit_reduced_at: Option<Moment>,
+    /// Limit on the calls that begin within [`MAX_SEND_DELAY`].
+    call_limit: CallLimit,
     is_extended: bool,
     rebalanced_at: Moment,
 }
@@ -169,8 +163,7 @@
             pending_map: None,
             last_epoch: term << EPOCH_COUNTER_BITS,
             next_call_id: 1,
-            call_limit: INITIAL_CALL_LIMIT,
-            call_limit_reduced_at: None,
+            call_limit: CallLimit::new(),
             is_extended: false,
             rebalanced_at: Moment::ZERO,
         }
@@ -292,9 +285,6 @@
 
     /// Returns the indexes of the ranges for which a call may begin now, the longest due
     /// first.
-    ///
-    /// A leader that takes over has a call to make for every range at once. A host that
-    /// begins more of them than it can send in time would take upstreams for silent.
     fn due_ranges(&self, now: Moment) -> Vec<usize> {
         let mut due: Vec<usize> = Vec::new();
         for (index, range_state) in self.range_states.values().enumerate() {
@@ -304,34 +294,14 @@
         }
         let just_begun = |pending: &&PendingCall| now < pending.sent_at + MAX_SEND_DELAY;
         let begun = self.pending_calls.values().filter(just_begun).count();
-        let limit = (self.call_limit as usize).saturating_sub(begun);
-        if due.len() > limit {
+        let available = self.call_limit.available(begun);
+        if due.len() > available {
             due.sort_by_key(|index| self.range_states[*index].due_at);
-            due.truncate(limit);
+            due.truncate(available);
         }
         due
     }
 
-    /// Adapts the limit on calls to whether a call was sent in time.
-    fn adapt_call_limit(&mut self, now: Moment, is_sent: bool) {
-        if is_sent {
-            // Once the limit has been found, it rises by one in each send delay.
-            let increase = match self.call_limit_reduced_at {
-                Some(_) => 1.0 / self.call_limit,
-                None => 1.0,
-            };
-            let max_limit = (self.range_states.len() as f64).max(INITIAL_CALL_LIMIT);
-            self.call_limit = (self.call_limit + increase).min(max_limit);
-            return;
-        }
-        // The other calls of the same time are late for the same reason.
-        let is_known = |reduced_at: Moment| now < reduced_at + MAX_SEND_DELAY;
-        if !self.call_limit_reduced_at.is_some_and(is_known) {
-            self.call_limit = (self.call_limit / 2.0).max(MIN_CALL_LIMIT);
-            self.call_limit_reduced_at = Some(now);
-        }
-    }
-
     /// Records whether the row that a step returned was written.
     pub fn record_commit(&mut self, now: Moment, is_written: bool) {
         let Some(map) = self.pending_map.take() else {
@@ -357,7 +327,11 @@
             return;
         };
         let id = call.id;
-        self.adapt_call_limit(now, reply != CallReply::Unsent);
+        if reply == CallReply::Unsent {
+            self.call_limit.record_unsent(now, MAX_SEND_DELAY);
+        } else {
+            self.call_limit.record_sent(self.range_states.len());
+        }
         let holder_state = self.holders.entry(call.holder.clone()).or_default();
         match reply {
             CallReply::Unsent => {}
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -24,6 +24,7 @@
 //! ```
 
 mod balance;
+mod call_limit;
 mod lease;
 mod ledger;
 mod loads;
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -25,6 +25,7 @@
 //! assert!(matches!(selection, Selection::Send { .. }));
 //! ```
 
+mod estimate;
 mod fleet_loads;
 mod moves;
 mod selector;
