Review, case 3: a longer time budget, so that the case does not depend on a fast machine

Change: requests of the case are downloads with the time budget of the grown sites, 6 s in place of 1.5 s.

--- a/review/stand-in/cases.rs
+++ b/review/stand-in/cases.rs
@@ -329,10 +329,18 @@
         record.tell("the answers of i-6 are chunks without end");
     }
     let pause = Duration::from_millis(50);
-    let clients = Clients::start(6, pause, &deployment.addresses(), record, history);
+    let clients = Clients::start(6, pause, &deployment.addresses(), record, bundle);
     watch_memory(record, &mut deployment, clients)
 }
 
+fn bundle(number: u64) -> Ask {
+    Ask {
+        path: format!("/bundle/{number}"),
+        budget: Duration::from_millis(6_000),
+        ..chart(number)
+    }
+}
+
 fn order(number: u64) -> Ask {
     Ask {
         method: "POST",
--- a/review/stand-in/hosts.rs
+++ b/review/stand-in/hosts.rs
@@ -212,7 +212,8 @@
 }
 
 /// Returns a desired state with the routes `/chart/` (idempotent) of the sharded service
-/// `mapview`, and `/history/` (idempotent) and `/order/` (non-idempotent) of `puerto`.
+/// `mapview`, and `/history/` (idempotent), `/order/` (non-idempotent) and `/bundle/`
+/// (download) of `puerto`.
 pub fn sheet(version: u32) -> String {
     let rule = |name: &str, kind: &str, service: &str, timeout_ms: u32| {
         format!(
@@ -224,10 +225,11 @@
     let chart = rule("chart", "idempotent", "mapview", 1_500);
     let order = rule("order", "non_idempotent", "puerto", 2_000);
     let history = rule("history", "idempotent", "puerto", 1_500);
+    let bundle = rule("bundle", "download", "puerto", 6_000);
     format!(
         r#"{{"version":"{version:08x}","limits":{{"max_header_bytes":8192,"max_body_bytes":67108864,
 "header_timeout_ms":3000,"idle_timeout_ms":15000}},
-"listeners":[{{"host":"a.example","rule_set":[{chart},{order},{history}]}}],
+"listeners":[{{"host":"a.example","rule_set":[{chart},{order},{history},{bundle}]}}],
 "clusters":[{{"name":"mapview","health_path":"/health","max_connections":248,"sharded":true,
 "warm_s":0.0}},{{"name":"puerto","health_path":"/health","max_connections":248}}]}}"#
     )
