--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/stand-in review/stand-in/main.rs
+rustc --edition 2024 -O -o target/review/stand-in review/main.rs
