Take only a holder's own answer as proof that it has ended

Cause: the leader took a later entry at an address as proof that the earlier upstream there had ended, and granted its keys elsewhere at once, without a release and before the grant had lapsed. Any writer can add an entry. The same belief had a second source: calls for a run went to the address of its newest entry, and the 421 of another upstream there passed for the end of the holder.

Fix: entries are no evidence. A holder has ended only when its address answers a call for it with 421, and the address of a run is the first one that was seen for it.

GrantLedger::record_ended is gone, and with it its test. Its replacements check the same from both sides: keys move at once after an answer that proves the end, and not before the grant's end after one that does not.

--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -90,9 +90,8 @@
     written_version: u64,
     ledgers: IndexMap<ServiceName, GrantLedger>,
     owner_versions: IndexMap<ServiceName, u64>,
-    /// Address of each known upstream run, including removed ones, and when its entry
-    /// was first seen.
-    addresses: IndexMap<Holder, (SocketAddr, Moment)>,
+    /// First address of each known upstream run, including removed ones.
+    addresses: IndexMap<Holder, SocketAddr>,
     /// Version of the entries at the last update of `addresses`.
     addresses_version: u64,
     replies: Receiver<LedgerReply>,
@@ -395,10 +394,7 @@
     /// Sends calls to upstreams; their replies arrive at `replies`.
     fn send_calls(&self, calls: Vec<(ServiceName, GrantCall)>) {
         for (service, call) in calls {
-            let address = self
-                .addresses
-                .get(&call.holder)
-                .map(|(address, _)| *address);
+            let address = self.addresses.get(&call.holder).copied();
             let grant_client = self.context.grant_client.clone();
             let reply_sender = self.reply_sender.clone();
             let valid_until = self.lease.valid_until();
@@ -444,8 +440,10 @@
         count > 0 && now - known.1 >= SETTLE_DURATION
     }
 
-    /// Updates the addresses of all upstreams when entries have changed, and tells the
-    /// ledgers which holders have ended because another upstream uses their address.
+    /// Updates the addresses of all upstreams when entries have changed.
+    ///
+    /// An entry proves nothing about the holders at its address: any writer can add one.
+    /// Only a holder's own address can tell that it has ended, in reply to a call.
     fn update_addresses(&mut self) {
         let version = self.context.replica.entries_version();
         if version == self.addresses_version {
@@ -456,39 +454,14 @@
         if self.addresses.len() > MAX_ADDRESSES {
             self.addresses.clear();
         }
-        let mut latest_occupants: IndexMap<SocketAddr, (Holder, Moment)> = IndexMap::new();
         for (id, known) in view.upstreams.iter() {
             let holder = Holder {
                 upstream: id.clone(),
                 run: known.entry.started_at_ms,
             };
-            let location = (known.entry.address, known.first_seen_at);
-            self.addresses.insert(holder.clone(), location);
-            let occupant = (holder, known.first_seen_at);
-            let newest = latest_occupants
-                .entry(location.0)
-                .or_insert_with(|| occupant.clone());
-            if newest.1 < occupant.1 {
-                *newest = occupant;
-            }
-        }
-        let addresses = &self.addresses;
-        let has_ended = |holder: &Holder| {
-            let Some((address, seen_at)) = addresses.get(holder) else {
-                return false;
-            };
-            // Clocks of upstreams may be wrong, so the order of their entries has to
-            // agree.
-            latest_occupants
-                .get(address)
-                .is_some_and(|(occupant, occupant_seen_at)| {
-                    occupant.upstream != holder.upstream
-                        && occupant.run > holder.run
-                        && occupant_seen_at > seen_at
-                })
-        };
-        for ledger in self.ledgers.values_mut() {
-            ledger.record_ended(has_ended);
+            // A run keeps its address. With another one, calls would go to an upstream
+            // that knows nothing of the grants.
+            self.addresses.entry(holder).or_insert(known.entry.address);
         }
     }
 
--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -204,14 +204,6 @@
         self.set_map(now, map);
     }
 
-    /// Records the holders that have ended according to a source other than a call: an
-    /// address is given to another upstream only after its previous user has gone.
-    pub fn record_ended(&mut self, has_ended: impl Fn(&Holder) -> bool) {
-        for (holder, state) in &mut self.holders {
-            state.has_ended |= has_ended(holder);
-        }
-    }
-
     /// Returns the map of the last committed row.
     pub const fn map(&self) -> &OwnerMap {
         &self.map
--- a/crates/grant/tests/ownership.rs
+++ b/crates/grant/tests/ownership.rs
@@ -126,18 +126,37 @@
     assert_eq!(step.calls.len(), 1);
 }
 
+/// Returns the upstreams to which a step of the ledger grants keys.
+fn granted_upstreams(ledger: &mut GrantLedger, now: Moment) -> Vec<String> {
+    let candidates = [OwnerCandidate::new("i-2", 1, 4.0)];
+    let step = ledger.step(now, &candidates, &KeyLoads::default());
+    let grants = step
+        .calls
+        .iter()
+        .filter(|call| matches!(call.kind, CallKind::Grant { .. }));
+    grants
+        .map(|call| call.holder.upstream.to_string())
+        .collect()
+}
+
+#[test]
+fn record_reply_ended_moves_keys_without_waiting_for_the_lease() {
+    let now = Moment::from_millis(1_000);
+    let (mut ledger, release) = start_release(now, 1);
+    ledger.record_reply(now, &release, CallReply::Ended);
+    assert_eq!(granted_upstreams(&mut ledger, now), ["i-2"]);
+}
+
+/// An upstream that answers a release in an unknown way may hold the keys: they wait for
+/// the end of its grant.
 #[test]
-fn record_ended_moves_keys_without_waiting_for_the_lease() {
+fn record_reply_rejected_keeps_keys_until_the_lease_lapses() {
     let now = Moment::from_millis(1_000);
     let (mut ledger, release) = start_release(now, 1);
-    // An upstream of another service answers at the address and does not know the call.
     ledger.record_reply(now, &release, CallReply::Rejected(404));
-    let candidates = [OwnerCandidate::new("i-2", 1, 4.0)];
-    let later = now + Duration::from_millis(200);
-    ledger.record_ended(|holder| holder.upstream.as_str() == "i-1");
-    let step = ledger.step(later, &candidates, &KeyLoads::default());
-    let granted = step.calls.iter().map(|call| call.holder.upstream.as_str());
-    assert_eq!(granted.collect::<Vec<_>>(), ["i-2"]);
+    let validity = GrantTiming::expiry_bound_after_arrival(GrantTiming::default().grant_duration);
+    let before_end = now + validity.saturating_sub(Duration::from_millis(1));
+    assert!(granted_upstreams(&mut ledger, before_end).is_empty());
 }
 
 #[test]
