Count the memory that the parts of an answer take, not their bytes

Cause: each part of a body was kept in a buffer of its own, and only its bytes counted. A part of one byte takes over fifty times as much, so the limit of 5.7 MB for an answer let a host of 182 MB grow past its memory.

Fix: small parts share blocks that grow with the body, and a block counts with all the memory that it takes, before it is allocated. Parts of 4 KB and more stay as they are.

--- a/crates/front/src/client_connection.rs
+++ b/crates/front/src/client_connection.rs
@@ -332,19 +332,19 @@
             }
         };
         let mut stream = self.stream.clone();
-        let mut parts = match &finished.outcome {
-            Ok(answer) => answer.body.parts(),
+        let mut blocks = match &finished.outcome {
+            Ok(answer) => answer.body.blocks(),
             Err(_) => &[],
         };
-        if let [only] = parts {
+        if let [only] = blocks {
             // Most answers are short and leave in one packet with their head.
             bytes.extend_from_slice(only);
-            parts = &[];
+            blocks = &[];
         }
         let writing = async {
             stream.write_all(&bytes).await?;
-            for part in parts {
-                stream.write_all(part).await?;
+            for block in blocks {
+                stream.write_all(block).await?;
             }
             stream.flush().await
         };
