Let other tasks run while a peer sends without a pause

Cause: a read that finds bytes waiting completes at once. A body whose bytes arrive faster than they are read was read in one turn, up to its limit, on a host's only thread; its own deadline was not noticed either.

Fix: a connection yields after four reads in a row that did not have to wait.

--- a/crates/h1/src/connection.rs
+++ b/crates/h1/src/connection.rs
@@ -4,6 +4,7 @@
 use crate::{
     BodyLength, BodyReader, Error, HeadLimits, RequestHead, ResponseHead, ResponsePart, Result,
 };
+use async_std::task::yield_now;
 use futures::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use std::fmt;
 use std::future::poll_fn;
@@ -15,12 +16,17 @@
 /// Maximum number of interim responses to one request; a peer in trouble may send them
 /// without end.
 const MAX_INTERIM_RESPONSES: u32 = 16;
+/// Maximum number of reads in a row that find bytes waiting before other tasks have a
+/// turn. A peer that sends faster than its bytes are read would keep the thread busy.
+const MAX_READY_READS: u32 = 4;
 
 /// A connection with a read buffer.
 pub struct Connection<S> {
     stream: S,
     buffer: Vec<u8>,
     start: usize,
+    /// Number of reads since the last one that had to wait for bytes.
+    ready_reads: u32,
 }
 
 impl<S> fmt::Debug for Connection<S> {
@@ -38,6 +44,7 @@
             stream,
             buffer: Vec::new(),
             start: 0,
+            ready_reads: 0,
         }
     }
 
@@ -276,10 +283,24 @@
             self.buffer.drain(..self.start);
             self.start = 0;
         }
-        let Self { stream, buffer, .. } = self;
+        if self.ready_reads >= MAX_READY_READS {
+            self.ready_reads = 0;
+            yield_now().await;
+        }
+        self.ready_reads += 1;
+        let Self {
+            stream,
+            buffer,
+            ready_reads,
+            ..
+        } = self;
         let read = poll_fn(|context| {
             let mut stack_buffer = [0_u8; READ_BUFFER_BYTES];
-            let read = ready!(Pin::new(&mut *stream).poll_read(context, &mut stack_buffer));
+            let read = Pin::new(&mut *stream).poll_read(context, &mut stack_buffer);
+            if read.is_pending() {
+                *ready_reads = 0;
+            }
+            let read = ready!(read);
             Poll::Ready(read.inspect(|bytes| buffer.extend_from_slice(&stack_buffer[..*bytes])))
         });
         Ok(read.await? > 0)
