--- a/crates/h1/tests/fairness.rs
+++ b/crates/h1/tests/fairness.rs
@@ -25,13 +25,13 @@
 impl AsyncRead for ReadyStream {
     fn poll_read(
         self: Pin<&mut Self>,
-        _context: &mut Context<'_>,
-        buffer: &mut [u8],
+        _cx: &mut Context<'_>,
+        buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let read_bytes = self.read_bytes.get();
         let left = STREAM_BYTES.saturating_sub(read_bytes);
-        let bytes = buffer.len().min(left);
-        for (index, byte) in buffer[..bytes].iter_mut().enumerate() {
+        let bytes = buf.len().min(left);
+        for (index, byte) in buf[..bytes].iter_mut().enumerate() {
             *byte = self.pattern[(read_bytes + index) % self.pattern.len()];
         }
         self.read_bytes.set(read_bytes + bytes);
@@ -42,17 +42,17 @@
 impl AsyncWrite for ReadyStream {
     fn poll_write(
         self: Pin<&mut Self>,
-        _context: &mut Context<'_>,
-        buffer: &[u8],
+        _cx: &mut Context<'_>,
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Poll::Ready(Ok(buffer.len()))
+        Poll::Ready(Ok(buf.len()))
     }
 
-    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
 
-    fn poll_close(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_close(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
 }
