Send a further attempt to the same upstream over a new connection

Callers could see: 503, "has not run", for a request that ran.

Cause: a request that an upstream rejects as not its own (421) is sent again to it after 20 ms, under the same id and mostly over the same connection. A faulty upstream may write an answer once more on a connection that is in use. The id told such copies apart from answers to other requests, but not from the answer to the second attempt.

Fix: an attempt at an upstream that was tried before goes over a new connection, which carries nothing from before. The pool's flag for recently used connections becomes a type with a third choice.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -255,8 +255,9 @@
                 state.metrics.retries.inc();
             }
             history.sends += 1;
+            let is_repeat = history.tried_upstreams.contains(&entry.id);
             history.tried_upstreams.push(entry.id.clone());
-            let outcome = self.send(request, &entry, expected).await;
+            let outcome = self.send(request, &entry, is_repeat, expected).await;
             if outcome.is_ok() {
                 let now = state.clock.now();
                 let mut quarantine = state.quarantine.lock();
@@ -298,6 +299,7 @@
         &self,
         request: &ResolvedRequest,
         entry: &UpstreamEntry,
+        is_repeat: bool,
         expected: Duration,
     ) -> Result<UpstreamAnswer, Cause> {
         let state = &self.state;
@@ -321,7 +323,10 @@
             report: None,
         };
         let max_requests = state.max_requests(&entry.service);
-        let exchanged = state.exchanger.exchange(entry, request, max_requests).await;
+        let exchanging = state
+            .exchanger
+            .exchange(entry, request, is_repeat, max_requests);
+        let exchanged = exchanging.await;
         guard.outcome = exchanged.outcome;
         guard.report = exchanged.report;
         drop(guard);
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -3,7 +3,7 @@
 use crate::adapter::HeaderNames;
 use crate::answer::UpstreamAnswer;
 use crate::answer_memory::AnswerMemory;
-use crate::pool::{ConnectionPool, ReadyConnection};
+use crate::pool::{ConnectionChoice, ConnectionPool, ReadyConnection};
 use crate::request::ResolvedRequest;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
@@ -52,18 +52,29 @@
 impl Exchanger {
     /// Sends a request to an upstream and reads its complete answer; keeps up to
     /// `max_idle` connections to the upstream.
+    ///
+    /// `is_repeat` says that the upstream may have answered an earlier attempt of the
+    /// request. Both attempts have the same id, so that a copy of that answer would pass
+    /// for one to this attempt; a new connection carries none.
     pub(crate) async fn exchange(
         &self,
         entry: &UpstreamEntry,
         request: &ResolvedRequest,
+        is_repeat: bool,
         max_idle: u32,
     ) -> ExchangeResult {
         let now = self.clock.now();
         let remaining = request.deadline - now;
-        let must_be_fresh = !request.is_idempotent();
+        let choice = if is_repeat {
+            ConnectionChoice::New
+        } else if request.is_idempotent() {
+            ConnectionChoice::Idle
+        } else {
+            ConnectionChoice::RecentlyUsed
+        };
         let connecting = self
             .pool
-            .take(now, &entry.id, entry.address, must_be_fresh, remaining);
+            .take(now, &entry.id, entry.address, choice, remaining);
         let ReadyConnection {
             mut connection,
             is_new,
--- a/crates/front/src/grant_client.rs
+++ b/crates/front/src/grant_client.rs
@@ -1,7 +1,7 @@
 //! Calls to upstreams that grant, renew and release keys.
 
 use crate::adapter::{HeaderNames, UserPlatform};
-use crate::pool::{CONNECT_TIMEOUT, ConnectionPool};
+use crate::pool::{CONNECT_TIMEOUT, ConnectionChoice, ConnectionPool};
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use grant::{CallKind, CallReply, GrantCall, GrantTiming};
@@ -70,7 +70,7 @@
         let id = &call.holder.upstream;
         let connected = self
             .pool
-            .take(now, id, address, false, CONNECT_TIMEOUT)
+            .take(now, id, address, ConnectionChoice::Idle, CONNECT_TIMEOUT)
             .await;
         let mut connection = match connected {
             Ok(ready) => ready.connection,
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -20,6 +20,19 @@
 /// retransmission of one lost packet.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(320);
 
+/// Which connections serve for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionChoice {
+    /// Any idle connection.
+    Idle,
+    /// An idle connection that was in use a moment ago: for a request that must not run
+    /// twice.
+    RecentlyUsed,
+    /// Only a new connection. On one that was in use before, a late copy of an earlier
+    /// answer can't be told from the answer.
+    New,
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection<TcpStream>,
@@ -42,8 +55,8 @@
 }
 
 impl ConnectionPool {
-    /// Returns a pooled connection that shows no sign of having been closed, or opens a
-    /// new one.
+    /// Returns a pooled connection that `choice` allows and that shows no sign of having
+    /// been closed, or opens a new one.
     ///
     /// # Errors
     ///
@@ -53,10 +66,13 @@
         now: Moment,
         id: &UpstreamId,
         address: SocketAddr,
-        must_be_fresh: bool,
+        choice: ConnectionChoice,
         timeout: Duration,
     ) -> Result<ReadyConnection, DialError> {
-        while let Some(idle) = self.pop(id) {
+        while choice != ConnectionChoice::New
+            && let Some(idle) = self.pop(id)
+        {
+            let must_be_fresh = choice == ConnectionChoice::RecentlyUsed;
             let is_stale =
                 now >= idle.expires_at || (must_be_fresh && now - idle.idle_since > MAX_FRESH_IDLE);
             if !is_stale && is_idle(idle.connection.stream()) {
