Do not take copies of earlier answers for replies to calls for keys

Callers could see: two upstreams at work on the same key (OWNER). A faulty upstream wrote an earlier answer once more on a kept connection, and the leader took it for the reply to its call: a copy of a release's answer as proof that other keys were released too, a copy of a 421 as proof that the holder had ended. The keys then went to a second holder while the first one held them.

Cause: replies to calls for keys carry no id, and the leader's connections are kept.

Fix: a release goes over a new connection. A 421 to a grant on a kept connection counts as no answer; the idle connections to the upstream are dropped, and the next call shows over a new one whether the holder has ended. Copies of other answers to grants do no harm.

--- a/crates/front/src/grant_client.rs
+++ b/crates/front/src/grant_client.rs
@@ -1,7 +1,7 @@
 //! Calls to upstreams that grant, renew and release keys.
 
 use crate::adapter::{HeaderNames, UserPlatform};
-use crate::pool::{CONNECT_TIMEOUT, ConnectionChoice, ConnectionPool};
+use crate::pool::{CONNECT_TIMEOUT, ConnectionChoice, ConnectionPool, ReadyConnection};
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use grant::{CallKind, CallReply, GrantCall, GrantTiming};
@@ -68,12 +68,21 @@
     ) -> CallReply {
         let now = self.clock.now();
         let id = &call.holder.upstream;
+        // A copy of an earlier release's answer would pass for the answer, and the keys
+        // would be granted elsewhere while the upstream is at work on them.
+        let choice = match call.kind {
+            CallKind::Release => ConnectionChoice::New,
+            CallKind::Grant { .. } | CallKind::Probe => ConnectionChoice::Idle,
+        };
         let connected = self
             .pool
-            .take(now, id, address, ConnectionChoice::Idle, CONNECT_TIMEOUT)
+            .take(now, id, address, choice, CONNECT_TIMEOUT)
             .await;
-        let mut connection = match connected {
-            Ok(ready) => ready.connection,
+        let ReadyConnection {
+            mut connection,
+            is_new,
+        } = match connected {
+            Ok(ready) => ready,
             Err(error) => {
                 warn!(target: "grant", "upstream={id} address={address} error=\"{error}\"");
                 return CallReply::Unreachable;
@@ -101,16 +110,21 @@
             CallKind::Grant { .. } | CallKind::Probe => self.timing.call_timeout,
         };
         let exchanging = exchange_on(&mut connection, &bytes, names);
-        if let Ok(Ok((reply, keeps_alive))) = timeout(max_wait, exchanging).await {
-            if keeps_alive {
-                self.pool
-                    .put(self.clock.now(), id, connection, None, MAX_IDLE_CONNECTIONS);
+        match timeout(max_wait, exchanging).await {
+            // It may be a copy of an earlier answer. The next call, over a new connection,
+            // shows whether the holder has ended.
+            Ok(Ok((CallReply::Ended, _))) if !is_new => self.pool.clear(id),
+            Ok(Ok((reply, keeps_alive))) => {
+                if keeps_alive {
+                    self.pool
+                        .put(self.clock.now(), id, connection, None, MAX_IDLE_CONNECTIONS);
+                }
+                return reply;
             }
-            reply
-        } else {
-            h1::reset(connection.stream());
-            CallReply::Unanswered
+            Ok(Err(_)) | Err(_) => {}
         }
+        h1::reset(connection.stream());
+        CallReply::Unanswered
     }
 }
 
