Add the numbers of a load report without overflow

An upstream whose load header has huge numbers made the sum of its running and waiting requests overflow: a panic in debug builds while the outcome of a request was recorded, and in release builds the load of an idle upstream, which attracts requests.

Three places added the same two numbers; one method does now, as floats.

Evidence: record_outcome_report_of_huge_numbers_does_not_look_idle failed before ("attempt to add with overflow") and passes now.

--- a/crates/place/src/selector.rs
+++ b/crates/place/src/selector.rs
@@ -347,8 +347,7 @@
             self.work_times.record(now, work, service_ms);
         }
         if let Some(report) = report {
-            let occupancy = f64::from(report.running + report.waiting);
-            let ratio = occupancy / f64::from(report.slots.max(1));
+            let ratio = report.occupancy() / f64::from(report.slots.max(1));
             self.work_times.record_occupancy(now, work.service, ratio);
         }
     }
--- a/crates/place/src/state.rs
+++ b/crates/place/src/state.rs
@@ -59,6 +59,13 @@
     pub slots: u32,
 }
 
+impl LoadReport {
+    /// Returns the number of requests that are running or waiting.
+    pub(crate) fn occupancy(&self) -> f64 {
+        f64::from(self.running) + f64::from(self.waiting)
+    }
+}
+
 /// Load of an upstream that one host has observed since its last report.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ObservedLoad {
@@ -313,7 +320,7 @@
         self.own_requests = self.own_requests.saturating_sub(1);
         self.observed.requests += 1;
         if let Some(report) = report {
-            let total = f64::from(report.running + report.waiting);
+            let total = report.occupancy();
             self.observed.reports += 1;
             self.observed.occupancy_ratio += total / f64::from(report.slots.max(1));
             let other_requests = (total - f64::from(self.own_requests)).max(0.0);
@@ -373,7 +380,7 @@
         work: MeanWork,
     ) -> Option<f64> {
         let latency_ms = (now - sent.sent_at).as_secs_f64() * 1_000.0;
-        let reported = report.map_or(0.0, |report| f64::from(report.running + report.waiting));
+        let reported = report.map_or(0.0, |report| report.occupancy());
         let occupancy = sent.occupancy.max(reported);
         let occupancy_ratio = ((occupancy + 1.0) / f64::from(sent.slots.max(1))).max(1.0);
         let shortest_ms = latency_ms / occupancy_ratio;
--- a/crates/place/tests/choice.rs
+++ b/crates/place/tests/choice.rs
@@ -275,3 +275,47 @@
     selector.record_outcome(now, work.get(), &sent, RequestOutcome::Unreachable, None);
     assert!(selector.drain_probes(now, 4).is_empty());
 }
+
+/// Answers one request at each of `count` upstreams, where the first one reports a load;
+/// returns to which upstreams the next requests would go, one after the other.
+fn choose_after_report(count: usize, report: LoadReport) -> Vec<Option<String>> {
+    let work = Work::default();
+    let mut selector = UpstreamSelector::new(7);
+    let candidates = make_candidates(count);
+    let sent_at = Moment::from_millis(1_000);
+    let answered_at = Moment::from_millis(1_100);
+    for (index, candidate) in candidates.iter().enumerate() {
+        let sent = selector.record_sent(sent_at, work.get(), &candidate.id, SLOTS);
+        let idle = LoadReport {
+            running: 0,
+            waiting: 0,
+            slots: SLOTS,
+        };
+        let report = if index == 0 { report } else { idle };
+        let outcome = RequestOutcome::Answered;
+        selector.record_outcome(answered_at, work.get(), &sent, outcome, Some(report));
+    }
+    let choices = (0..2 * count).map(|_| {
+        let selection = selector.choose(answered_at, work.get(), &candidates, &limits(400));
+        let Selection::Send { id, .. } = selection else {
+            return None;
+        };
+        selector.record_sent(answered_at, work.get(), &id, SLOTS);
+        Some(id.to_string())
+    });
+    choices.collect()
+}
+
+/// The sum of both numbers overflowed: a panic in debug builds, and no load at all in
+/// release builds.
+#[test]
+fn record_outcome_report_of_huge_numbers_does_not_look_idle() {
+    let report = LoadReport {
+        running: u32::MAX,
+        waiting: 1,
+        slots: SLOTS,
+    };
+    let choices = choose_after_report(5, report);
+    let other = |choice: &Option<String>| choice.as_deref().is_some_and(|id| id != "i-0");
+    assert!(choices.iter().all(other), "{choices:?}");
+}
