Reserve the memory of request bodies before they are read

Cause: a body counted only once it was read, in a buffer that doubles as it grows, and was copied behind its head when it was sent. The limit of 40 MB was the same on every host.

Fix: bodies of requests are kept and counted as those of answers are, in blocks. Memory for a body with a length is reserved before it is read, and a request that does not fit is refused at once. The limit is half of the host's memory. Large bodies are sent without a copy. The fingerprint of a request is the same for any split into blocks.

Heads, pipelined requests, rows and datagrams are not in the account yet, and urgent work has no reserve.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -1,6 +1,6 @@
 //! Answers to clients and their encoding.
 
-use crate::answer_memory::HeldBody;
+use crate::body_memory::HeldBody;
 use h1::{HeaderList, encode_response_head};
 use kernel::{Refusal, Verdict};
 
--- a/crates/front/src/client_reader.rs
+++ b/crates/front/src/client_reader.rs
@@ -1,10 +1,11 @@
 //! Reading of one request from a client's connection.
 
+use crate::body_memory::{BodyError, HeldBody, read_into};
 use crate::clients::{ClientServer, InFlightGuard};
 use crate::request::ClientRequest;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
-use h1::{Connection, HeadLimits, RequestHead};
+use h1::{BodyLength, Connection, HeadLimits, RequestHead};
 use kernel::Cause;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -59,7 +60,7 @@
         Err(_elapsed) => return ReadOutcome::Idle,
     }
     let received_at = server.dispatcher.state.clock.now();
-    let mut guard = server.begin_request();
+    let guard = server.begin_request();
     let head_limits = HeadLimits {
         max_bytes: client_limits.head_bytes,
         ..HeadLimits::default()
@@ -72,7 +73,6 @@
             let may_continue = unanswered.load(Ordering::Relaxed) == 0;
             match read_body(server, connection, &head, max_bytes, may_continue).await {
                 Ok(body) => {
-                    guard.add_body(body.len() as u64);
                     let request = ClientRequest {
                         head,
                         body,
@@ -101,27 +101,36 @@
 }
 
 /// Reads a request's body; fails without a cause when the connection has failed.
+///
+/// Memory for a body with a length is reserved before any of it is read: bodies that
+/// arrive at the same time would exceed the memory together.
 async fn read_body(
     server: &ClientServer,
     connection: &mut Connection<TcpStream>,
     head: &RequestHead,
     max_bytes: u64,
     may_continue: bool,
-) -> Result<Vec<u8>, Option<Cause>> {
+) -> Result<HeldBody, Option<Cause>> {
+    let mut body = server.memory.empty_body();
+    if let BodyLength::Fixed(bytes) = head.body {
+        if bytes > max_bytes {
+            return Err(Some(Cause::BodyTooLarge));
+        }
+        if bytes > 0 && body.reserve(bytes).is_err() {
+            return Err(Some(Cause::HostBusy));
+        }
+    }
     if may_continue && head.headers.get("expect").is_some() {
         let sent = connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         sent.map_err(|_closed| None)?;
     }
-    let available = server.available_body_bytes();
-    let reading = connection.read_whole_body(head.body, max_bytes.min(available));
+    let reading = read_into(&mut body, connection, head.body, max_bytes);
     match timeout(body_timeout(server, head), reading).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(h1::Error::BodyTooLarge)) if max_bytes <= available => {
-            Err(Some(Cause::BodyTooLarge))
-        }
-        Ok(Err(h1::Error::BodyTooLarge)) => Err(Some(Cause::HostBusy)),
-        Ok(Err(h1::Error::Malformed(_))) => Err(Some(Cause::BadRequest)),
-        Ok(Err(_)) => Err(None),
+        Ok(Ok(())) => Ok(body),
+        Ok(Err(BodyError::TooLarge)) => Err(Some(Cause::BodyTooLarge)),
+        Ok(Err(BodyError::NoMemory)) => Err(Some(Cause::HostBusy)),
+        Ok(Err(BodyError::Connection(h1::Error::Malformed(_)))) => Err(Some(Cause::BadRequest)),
+        Ok(Err(BodyError::Connection(_))) => Err(None),
         Err(_elapsed) => Err(Some(Cause::RequestTimeout)),
     }
 }
--- a/crates/front/src/clients.rs
+++ b/crates/front/src/clients.rs
@@ -1,5 +1,6 @@
 //! Server for client connections.
 
+use crate::body_memory::BodyMemory;
 use crate::client_connection::ClientConnection;
 use crate::dispatch::Dispatcher;
 use async_std::net::TcpListener;
@@ -7,14 +8,12 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-/// Maximum total size of the bodies held at a time, in bytes; a quarter of a small
-/// host's memory.
-const MAX_TOTAL_BODY_BYTES: u64 = 40 << 20;
-
 /// Reads requests from clients and writes their answers.
 #[derive(Clone, Debug)]
 pub(crate) struct ClientServer {
     pub dispatcher: Dispatcher,
+    /// Memory for the bodies of requests.
+    pub memory: BodyMemory,
     state: Arc<ServerState>,
 }
 
@@ -23,37 +22,25 @@
     is_stopping: AtomicBool,
     is_closing: AtomicBool,
     in_flight: AtomicU64,
-    body_bytes: AtomicU64,
 }
 
-/// Counts a request in flight, and the size of its body, until dropped.
+/// Counts a request in flight until dropped.
 #[derive(Debug)]
 pub(crate) struct InFlightGuard {
     state: Arc<ServerState>,
-    body_bytes: u64,
-}
-
-impl InFlightGuard {
-    /// Adds the size of the request's body.
-    pub(crate) fn add_body(&mut self, bytes: u64) {
-        self.body_bytes += bytes;
-        self.state.body_bytes.fetch_add(bytes, Ordering::SeqCst);
-    }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.state.in_flight.fetch_sub(1, Ordering::SeqCst);
-        self.state
-            .body_bytes
-            .fetch_sub(self.body_bytes, Ordering::SeqCst);
     }
 }
 
 impl ClientServer {
-    pub(crate) fn new(dispatcher: Dispatcher) -> Self {
+    pub(crate) fn new(dispatcher: Dispatcher, memory: BodyMemory) -> Self {
         Self {
             dispatcher,
+            memory,
             state: Arc::default(),
         }
     }
@@ -88,16 +75,9 @@
         self.state.in_flight.fetch_add(1, Ordering::SeqCst);
         InFlightGuard {
             state: Arc::clone(&self.state),
-            body_bytes: 0,
         }
     }
 
-    /// Returns how many more bytes of request bodies may be held.
-    pub(crate) fn available_body_bytes(&self) -> u64 {
-        let used = self.state.body_bytes.load(Ordering::SeqCst);
-        MAX_TOTAL_BODY_BYTES.saturating_sub(used)
-    }
-
     /// Accepts connections until the scope is closed.
     pub(crate) async fn accept(self, listener: Arc<TcpListener>, scope: TaskScope) {
         loop {
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use crate::adapter::HeaderNames;
 use crate::answer::UpstreamAnswer;
-use crate::answer_memory::AnswerMemory;
+use crate::body_memory::{BodyError, BodyMemory, HeldBody};
 use crate::pool::{ConnectionChoice, ConnectionPool, ReadyConnection};
 use crate::request::ResolvedRequest;
 use async_std::future::timeout;
@@ -18,6 +18,8 @@
 /// Minimum remaining time for which a request is sent; less would elapse before an
 /// upstream has read it.
 const MIN_REMAINING_TIME: Duration = Duration::from_millis(5);
+/// Maximum size of a body that is copied to be sent together with its head, in bytes.
+const MAX_JOINED_BODY_BYTES: usize = 16 << 10;
 /// Maximum number of answers to other requests that are skipped before the connection
 /// is dropped.
 const MAX_STRAY_ANSWERS: u32 = 4;
@@ -28,7 +30,10 @@
     pub pool: ConnectionPool,
     pub clock: Arc<dyn Clock>,
     pub names: HeaderNames,
-    pub memory: AnswerMemory,
+    /// Memory for the bodies of answers.
+    pub memory: BodyMemory,
+    /// Maximum size of the body of one answer, in bytes.
+    pub max_answer: u64,
 }
 
 /// The result of one exchange.
@@ -98,9 +103,19 @@
             self.pool.put(now, &entry.id, connection, None, max_idle);
             return ExchangeResult::failed(Cause::DeadlineUnreachable, RequestOutcome::Abandoned);
         }
-        let bytes = request.encode(&self.names, entry.id.as_str(), remaining);
+        let mut bytes = request.encode_head(&self.names, entry.id.as_str(), remaining);
+        let mut blocks = request.body().blocks();
+        if let [only] = blocks
+            && only.len() <= MAX_JOINED_BODY_BYTES
+        {
+            bytes.extend_from_slice(only);
+            blocks = &[];
+        }
         let exchange = async {
             connection.write(&bytes).await?;
+            for block in blocks {
+                connection.write(block).await?;
+            }
             self.read_matching_head(&mut connection, request, is_new)
                 .await
         };
@@ -153,11 +168,25 @@
             if !head.keeps_alive {
                 return Ok(None);
             }
-            self.memory.read_body(connection, head.body).await?;
+            match self.read_body(connection, &head).await {
+                Ok(_stray_body) => {}
+                Err(BodyError::Connection(error)) => return Err(error),
+                Err(BodyError::TooLarge | BodyError::NoMemory) => return Ok(None),
+            }
         }
         Ok(None)
     }
 
+    async fn read_body(
+        &self,
+        connection: &mut Connection<TcpStream>,
+        head: &ResponseHead,
+    ) -> Result<HeldBody, BodyError> {
+        self.memory
+            .read_body(connection, head.body, self.max_answer)
+            .await
+    }
+
     fn is_not_run(&self, head: &ResponseHead) -> bool {
         head.status == 421 || head.headers.get(self.names.not_run).is_some()
     }
@@ -172,7 +201,7 @@
     ) -> ExchangeResult {
         let report = head.headers.get(self.names.load).and_then(parse_load);
         let remaining = request.deadline - self.clock.now();
-        let reading = self.memory.read_body(&mut connection, head.body);
+        let reading = self.read_body(&mut connection, &head);
         let mut is_reusable = head.keeps_alive;
         let body = match timeout(remaining, reading).await {
             Ok(Ok(body)) => body,
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -3,7 +3,7 @@
 use crate::adapter::{
     FrontBounds, FrontSettings, LoadedPlatform, SharedBounds, UserPlatform, is_strong,
 };
-use crate::answer_memory::AnswerMemory;
+use crate::body_memory::BodyMemory;
 use crate::budgets::RetryBudgets;
 use crate::clients::ClientServer;
 use crate::counted_store::CountedStore;
@@ -39,6 +39,15 @@
 use std::time::Duration;
 use store::RowStore;
 
+/// Fraction of the host's memory that the bodies of all requests together may take. The
+/// rest is for answers, connections, and what the allocator keeps of freed bodies.
+const REQUEST_FRACTION: u64 = 2;
+/// Fraction of the host's memory that all answers together may take. The allocator keeps
+/// some of what they free.
+const TOTAL_ANSWER_FRACTION: u64 = 16;
+/// Fraction of the host's memory that one answer may take. An upstream in trouble may
+/// send a body without end.
+const ANSWER_FRACTION: u64 = 32;
 /// Time for which a stopping host still accepts new requests. The load balancer checks
 /// every second and removes a host after two failed checks.
 const BALANCER_NOTICE_DURATION: Duration = Duration::from_millis(2_800);
@@ -193,7 +202,12 @@
         ))
     }
 
+    fn memory_bytes(&self) -> u64 {
+        u64::from(self.settings.memory_mb) << 20
+    }
+
     fn build_dispatcher(&self) -> Dispatcher {
+        let memory_bytes = self.memory_bytes();
         Dispatcher {
             state: Arc::new(DispatchState {
                 view: Arc::clone(&self.view),
@@ -203,7 +217,8 @@
                     pool: ConnectionPool::default(),
                     clock: Arc::clone(&self.clock),
                     names: *self.platform.headers(),
-                    memory: AnswerMemory::new(self.settings.memory_mb),
+                    memory: BodyMemory::new(memory_bytes / TOTAL_ANSWER_FRACTION),
+                    max_answer: memory_bytes / ANSWER_FRACTION,
                 },
                 budgets: RetryBudgets::new(Arc::clone(&self.bounds)),
                 quarantine: Mutex::new(QuarantineList::new(SUSPECT_DURATION)),
@@ -308,7 +323,8 @@
         let context = HostContext::new(loaded)?;
         let replica = context.build_replica();
         let dispatcher = context.build_dispatcher();
-        let clients = ClientServer::new(dispatcher.clone());
+        let request_memory = BodyMemory::new(context.memory_bytes() / REQUEST_FRACTION);
+        let clients = ClientServer::new(dispatcher.clone(), request_memory);
         let scope = &context.scope;
         let (listener, server) = (Arc::new(sockets.clients), clients.clone());
         let connections = scope.clone();
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -20,7 +20,7 @@
 
 mod adapter;
 mod answer;
-mod answer_memory;
+mod body_memory;
 mod budgets;
 mod client_connection;
 mod client_reader;
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -2,24 +2,25 @@
 
 use crate::adapter::HeaderNames;
 use crate::answer::is_hop_by_hop_header;
+use crate::body_memory::HeldBody;
 use h1::{HeaderList, RequestHead, encode_request_head};
 use kernel::{Cause, Moment, RequestId, ServiceName};
 use place::RequestWork;
-use retry::fingerprint;
+use retry::RequestFingerprint;
 use route::PrefixRoute;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// A client's request as it was read.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct ClientRequest {
     pub head: RequestHead,
-    pub body: Vec<u8>,
+    pub body: HeldBody,
     pub received_at: Moment,
 }
 
 /// A request that is ready to be sent to an upstream of `service`.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct ResolvedRequest {
     pub id: RequestId,
     pub route: Arc<PrefixRoute>,
@@ -30,7 +31,7 @@
     pub method: String,
     target: String,
     headers: HeaderList,
-    body: Vec<u8>,
+    body: HeldBody,
 }
 
 impl ResolvedRequest {
@@ -83,7 +84,7 @@
             }
             headers.push(name, value);
         }
-        let has_body = !body.is_empty() || head.headers.get("content-length").is_some();
+        let has_body = body.len() > 0 || head.headers.get("content-length").is_some();
         if has_body || head.headers.get("transfer-encoding").is_some() {
             headers.push("content-length", body.len().to_string());
         }
@@ -101,8 +102,8 @@
         })
     }
 
-    /// Encodes the request for one upstream, with the time left until its deadline.
-    pub(crate) fn encode(
+    /// Encodes the request's head for one upstream, with the time left until its deadline.
+    pub(crate) fn encode_head(
         &self,
         names: &HeaderNames,
         upstream: &str,
@@ -111,21 +112,23 @@
         let mut headers = self.headers.clone();
         headers.push(names.time_left, remaining.as_millis().to_string());
         headers.push(names.target_upstream, upstream);
-        let mut bytes = encode_request_head(&self.method, &self.target, &headers);
-        bytes.extend_from_slice(&self.body);
-        bytes
+        encode_request_head(&self.method, &self.target, &headers)
+    }
+
+    pub(crate) fn body(&self) -> &HeldBody {
+        &self.body
     }
 
     /// Returns a hash of the request's content, by which requests that crash upstreams
     /// are recognized.
     pub(crate) fn fingerprint(&self) -> u64 {
         let host = self.headers.get("host").unwrap_or_default();
-        fingerprint(&[
-            self.method.as_bytes(),
-            host.as_bytes(),
-            self.target.as_bytes(),
-            &self.body,
-        ])
+        let mut fingerprint = RequestFingerprint::new();
+        for part in [&self.method, host, &self.target] {
+            fingerprint.add_part([part.as_bytes()]);
+        }
+        fingerprint.add_part(self.body.blocks().iter().map(Vec::as_slice));
+        fingerprint.digest()
     }
 
     /// Returns the work that the request asks for.
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -28,4 +28,4 @@
 pub use journal::{
     JournalEntry, JournalState, StartDecision, StoredAnswer, decide_start, journal_key,
 };
-pub use quarantine::{QuarantineList, fingerprint};
+pub use quarantine::{QuarantineList, RequestFingerprint, fingerprint};
--- a/crates/retry/src/quarantine.rs
+++ b/crates/retry/src/quarantine.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 use kernel::Moment;
+use std::fmt;
 use std::time::Duration;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -14,15 +15,51 @@
 /// Maximum number of completions kept; the one inserted first is removed first.
 const MAX_COMPLETIONS: usize = 512;
 
-/// Hashes the parts that identify a request into a fingerprint (xxHash3, 64 bits).
+/// Hash of the parts that identify a request (xxHash3, 64 bits).
+#[derive(Clone, Default)]
+pub struct RequestFingerprint {
+    hasher: Xxh3,
+}
+
+impl fmt::Debug for RequestFingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RequestFingerprint").finish_non_exhaustive()
+    }
+}
+
+impl RequestFingerprint {
+    /// Creates the fingerprint of no parts.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a part, which may be kept in several blocks.
+    pub fn add_part<'a, I>(&mut self, blocks: I)
+    where
+        I: IntoIterator<Item = &'a [u8], IntoIter: Clone>,
+    {
+        let blocks = blocks.into_iter();
+        let part_bytes: usize = blocks.clone().map(<[u8]>::len).sum();
+        // Hashing the length distinguishes ("ab", "c") from ("a", "bc").
+        self.hasher.update(&(part_bytes as u64).to_le_bytes());
+        for block in blocks {
+            self.hasher.update(block);
+        }
+    }
+
+    /// Returns the hash.
+    pub fn digest(&self) -> u64 {
+        self.hasher.digest()
+    }
+}
+
+/// Hashes the parts that identify a request into a fingerprint.
 pub fn fingerprint(parts: &[&[u8]]) -> u64 {
-    let mut hasher = Xxh3::new();
+    let mut fingerprint = RequestFingerprint::new();
     for part in parts {
-        // Hashing the length distinguishes ("ab", "c") from ("a", "bc").
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
+        fingerprint.add_part([*part]);
     }
-    hasher.digest()
+    fingerprint.digest()
 }
 
 #[derive(Clone, Copy, Debug)]
