Read the rest of a refused request, so that its client gets the refusal

A closed connection promises nothing, so a client that must not send twice could not send again.

Cause: the host closed the connection behind the refusal. Closing one with unread bytes resets it, and what the client has not read is lost.

Fix: the host ends its own direction, then reads and discards the rest for up to 2 s. A refusal for want of memory says when to come back.

--- a/crates/front/src/client_connection.rs
+++ b/crates/front/src/client_connection.rs
@@ -13,12 +13,13 @@
 use async_std::net::TcpStream;
 use futures::AsyncWriteExt;
 use futures::future::BoxFuture;
-use h1::Connection;
+use h1::{BodyLength, BodyReader, Connection};
 use kernel::{Cause, Moment, Refusal};
 use log::{info, warn};
 use std::collections::VecDeque;
 use std::fmt;
 use std::future::poll_fn;
+use std::net::Shutdown;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll};
@@ -29,6 +30,12 @@
 const MAX_PIPELINED: usize = 8;
 /// Maximum time for a client to take its answer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Maximum time for which the rest of a refused request is read and discarded. Closing a
+/// connection with unread bytes resets it, and the refusal would be lost on the way.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which a client should retry whose body found no memory; most requests that
+/// hold some are answered within it.
+const BUSY_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Time after which a client should retry that a stopping host refused; the load
 /// balancer connects it to another host.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -124,6 +131,8 @@
     held_request: Option<Box<ReadRequest>>,
     /// Whether no more requests are read.
     is_read_closed: bool,
+    /// Whether the last request was refused before it was read to its end.
+    has_unread_request: bool,
     is_client_gone: Arc<AtomicBool>,
     idle_since: Moment,
 }
@@ -148,6 +157,7 @@
             answers: AnswerQueue::default(),
             held_request: None,
             is_read_closed: false,
+            has_unread_request: false,
             is_client_gone: Arc::default(),
         }
     }
@@ -170,9 +180,27 @@
                 ConnectionEvent::ClientLeft => break,
             }
         }
+        if self.has_unread_request {
+            self.discard_rest().await;
+        }
         self.finish_running().await;
     }
 
+    /// Reads and discards the rest of a refused request, until the client has taken the
+    /// refusal and closes.
+    async fn discard_rest(&mut self) {
+        // A connection that has failed needs no end.
+        let _failed = self.stream.shutdown(Shutdown::Write);
+        let Some(mut connection) = self.reader.take() else {
+            return;
+        };
+        let mut reader = BodyReader::new(BodyLength::UntilClose);
+        let discarding =
+            async { while let Ok(Some(_part)) = reader.next(&mut connection).await {} };
+        // The client has had its time.
+        let _elapsed = timeout(DISCARD_TIMEOUT, discarding).await;
+    }
+
     /// Returns whether the next request may be read now.
     fn may_read(&self) -> bool {
         let is_draining = self.server.is_stopping() && !self.answers.is_empty();
@@ -233,14 +261,13 @@
             }
             ReadOutcome::Refused { cause, id, guard } => {
                 self.is_read_closed = true;
-                log_refusal(id.as_deref(), cause.into());
-                self.answers
-                    .push(PendingAnswer::Finished(Box::new(FinishedRequest {
-                        id,
-                        outcome: Err(cause.into()),
-                        closes: true,
-                        _guard: guard,
-                    })));
+                self.has_unread_request = true;
+                let mut refusal = Refusal::new(cause);
+                if cause == Cause::HostBusy {
+                    refusal = refusal.with_retry_after(BUSY_RETRY_AFTER);
+                }
+                log_refusal(id.as_deref(), refusal);
+                self.push_refusal(id, refusal, true, guard);
                 NextStep::Continue
             }
             ReadOutcome::Idle if !self.answers.is_empty() => NextStep::Continue,
