Send short bodies of several blocks in one write with their head

A request or answer in small chunks has several blocks. One method does this for requests and answers now.

--- a/crates/front/src/body_memory.rs
+++ b/crates/front/src/body_memory.rs
@@ -11,6 +11,8 @@
 const MIN_OWN_BLOCK_BYTES: usize = 4 << 10;
 /// Maximum size of a block that small parts share, in bytes; the size of a read.
 const MAX_SHARED_BLOCK_BYTES: u64 = 16 << 10;
+/// Maximum size of a body that is copied to be sent together with its head, in bytes.
+const MAX_JOINED_BYTES: u64 = 16 << 10;
 /// Memory that a block takes beside its bytes: the allocator's header, and its place in a
 /// list that doubles as it grows.
 const BLOCK_OVERHEAD_BYTES: u64 = 16 + 2 * size_of::<Vec<u8>>() as u64;
@@ -74,6 +76,42 @@
         &self.blocks
     }
 
+    /// Returns the blocks to send behind a message's head. A short body is appended to the
+    /// head, so that both leave in one packet.
+    pub(crate) fn blocks_behind(&self, head: &mut Vec<u8>) -> &[Vec<u8>] {
+        if self.len > MAX_JOINED_BYTES {
+            return &self.blocks;
+        }
+        for block in &self.blocks {
+            head.extend_from_slice(block);
+        }
+        &[]
+    }
+
+    /// Reads a whole body of at most `max_bytes` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body is truncated, malformed, or larger than the limits allow.
+    pub(crate) async fn read_from<S>(
+        &mut self,
+        connection: &mut Connection<S>,
+        length: BodyLength,
+        max_bytes: u64,
+    ) -> Result<(), BodyError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin,
+    {
+        let mut reader = BodyReader::new(length);
+        while let Some(part) = reader.next(connection).await? {
+            if self.len + part.len() as u64 > max_bytes {
+                return Err(BodyError::TooLarge);
+            }
+            self.push(part)?;
+        }
+        Ok(())
+    }
+
     /// Reserves memory for `bytes` bytes that have yet to arrive.
     ///
     /// # Errors
@@ -161,31 +199,7 @@
         S: AsyncRead + AsyncWrite + Unpin,
     {
         let mut body = self.empty_body();
-        read_into(&mut body, connection, length, max_bytes).await?;
+        body.read_from(connection, length, max_bytes).await?;
         Ok(body)
     }
 }
-
-/// Reads a whole body of at most `max_bytes` bytes into `body`.
-///
-/// # Errors
-///
-/// Fails when the body is truncated, malformed, or larger than the limits allow.
-pub(crate) async fn read_into<S>(
-    body: &mut HeldBody,
-    connection: &mut Connection<S>,
-    length: BodyLength,
-    max_bytes: u64,
-) -> Result<(), BodyError>
-where
-    S: AsyncRead + AsyncWrite + Unpin,
-{
-    let mut reader = BodyReader::new(length);
-    while let Some(part) = reader.next(connection).await? {
-        if body.len() + part.len() as u64 > max_bytes {
-            return Err(BodyError::TooLarge);
-        }
-        body.push(part)?;
-    }
-    Ok(())
-}
--- a/crates/front/src/client_connection.rs
+++ b/crates/front/src/client_connection.rs
@@ -359,15 +359,10 @@
             }
         };
         let mut stream = self.stream.clone();
-        let mut blocks = match &finished.outcome {
-            Ok(answer) => answer.body.blocks(),
+        let blocks = match &finished.outcome {
+            Ok(answer) => answer.body.blocks_behind(&mut bytes),
             Err(_) => &[],
         };
-        if let [only] = blocks {
-            // Most answers are short and leave in one packet with their head.
-            bytes.extend_from_slice(only);
-            blocks = &[];
-        }
         let writing = async {
             stream.write_all(&bytes).await?;
             for block in blocks {
--- a/crates/front/src/client_reader.rs
+++ b/crates/front/src/client_reader.rs
@@ -1,6 +1,6 @@
 //! Reading of one request from a client's connection.
 
-use crate::body_memory::{BodyError, HeldBody, read_into};
+use crate::body_memory::{BodyError, HeldBody};
 use crate::clients::{ClientServer, InFlightGuard};
 use crate::request::ClientRequest;
 use async_std::future::timeout;
@@ -124,7 +124,7 @@
         let sent = connection.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         sent.map_err(|_closed| None)?;
     }
-    let reading = read_into(&mut body, connection, head.body, max_bytes);
+    let reading = body.read_from(connection, head.body, max_bytes);
     match timeout(body_timeout(server, head), reading).await {
         Ok(Ok(())) => Ok(body),
         Ok(Err(BodyError::TooLarge)) => Err(Some(Cause::BodyTooLarge)),
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -18,8 +18,6 @@
 /// Minimum remaining time for which a request is sent; less would elapse before an
 /// upstream has read it.
 const MIN_REMAINING_TIME: Duration = Duration::from_millis(5);
-/// Maximum size of a body that is copied to be sent together with its head, in bytes.
-const MAX_JOINED_BODY_BYTES: usize = 16 << 10;
 /// Maximum number of answers to other requests that are skipped before the connection
 /// is dropped.
 const MAX_STRAY_ANSWERS: u32 = 4;
@@ -104,13 +102,7 @@
             return ExchangeResult::failed(Cause::DeadlineUnreachable, RequestOutcome::Abandoned);
         }
         let mut bytes = request.encode_head(&self.names, entry.id.as_str(), remaining);
-        let mut blocks = request.body().blocks();
-        if let [only] = blocks
-            && only.len() <= MAX_JOINED_BODY_BYTES
-        {
-            bytes.extend_from_slice(only);
-            blocks = &[];
-        }
+        let blocks = request.body().blocks_behind(&mut bytes);
         let exchange = async {
             connection.write(&bytes).await?;
             for block in blocks {
