Answer 503 to requests that certainly reached no upstream

Clients may not repeat a request that must not run twice after 502 or 504. The host gave these to requests of which it could know that they had not run:

- A rejection without a request id, on a connection that was in use before, was taken for a possible copy (502).
Answers other than rejections name their request, so only a connection that has carried an unnamed rejection leaves doubt.
The pool marks such connections, and a request that must not run twice goes over another one.
- A rejection that arrives before the body was written was not read: the write blocked until the deadline (504) or failed (502).
The head of the answer is now read while the request is written.
- A connection that is closed or reset before the first byte of the request, and a write that fails or times out before it, get 503.
Once a byte was written, nothing is claimed.

The last item is not shown by a test, as its timing can't be forced.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -342,7 +342,7 @@
         };
         info!(target: "upstream", "upstream={} state=reachable", entry.id);
         let now = state.clock.now();
-        let connection = h1::Connection::new(stream);
+        let connection = crate::pool::ReadyConnection::new(stream);
         let max_idle = state.max_requests(&entry.service);
         let pool = &state.exchanger.pool;
         pool.put(now, &entry.id, connection, None, max_idle);
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -5,6 +5,7 @@
 use crate::body_memory::{BodyError, BodyMemory, HeldBody};
 use crate::pool::{ConnectionChoice, ConnectionPool, ReadyConnection};
 use crate::request::ResolvedRequest;
+use crate::sending::{SendProgress, is_closed, send_and_read, write_request};
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use fleet::UpstreamEntry;
@@ -81,6 +82,7 @@
         let ReadyConnection {
             mut connection,
             is_new,
+            has_unnamed_rejection,
         } = match connecting.await {
             Ok(ready) => ready,
             Err(error) => {
@@ -96,21 +98,32 @@
                 );
             }
         };
+        if is_closed(connection.stream()) {
+            self.pool.clear(&entry.id);
+            return ExchangeResult::failed(
+                Cause::UpstreamUnreachable,
+                connection_loss_outcome(is_new),
+            );
+        }
         let remaining = request.deadline - self.clock.now();
         if remaining < MIN_REMAINING_TIME {
-            self.pool.put(now, &entry.id, connection, None, max_idle);
+            let idle = ReadyConnection {
+                connection,
+                is_new,
+                has_unnamed_rejection,
+            };
+            self.pool.put(now, &entry.id, idle, None, max_idle);
             return ExchangeResult::failed(Cause::DeadlineUnreachable, RequestOutcome::Abandoned);
         }
         let mut bytes = request.encode_head(&self.names, entry.id.as_str(), remaining);
         let blocks = request.body().blocks_behind(&mut bytes);
-        let exchange = async {
-            connection.write(&bytes).await?;
-            for block in blocks {
-                connection.write(block).await?;
-            }
-            self.read_matching_head(&mut connection, request, is_new)
-                .await
-        };
+        let progress = SendProgress::default();
+        let stream = connection.stream().clone();
+        let exchange = send_and_read(
+            write_request(stream, &bytes, blocks, &progress),
+            self.read_matching_head(&mut connection, request, has_unnamed_rejection),
+            |head| self.is_not_run(head),
+        );
         let head = match timeout(remaining, exchange).await {
             Ok(Ok(Some(head))) => head,
             Ok(Ok(None) | Err(h1::Error::Malformed(_) | h1::Error::HeadTooLarge)) => {
@@ -118,37 +131,54 @@
             }
             Ok(Err(_)) => {
                 self.pool.clear(&entry.id);
-                let outcome = if is_new {
-                    RequestOutcome::Reset
+                let cause = if progress.is_begun() {
+                    Cause::UpstreamLost
                 } else {
-                    RequestOutcome::Lost
+                    Cause::UpstreamUnreachable
                 };
-                return ExchangeResult::failed(Cause::UpstreamLost, outcome);
+                return ExchangeResult::failed(cause, connection_loss_outcome(is_new));
             }
             Err(_elapsed) => {
-                return ExchangeResult::failed(Cause::UpstreamTimeout, RequestOutcome::Abandoned);
+                let cause = if progress.is_begun() {
+                    Cause::UpstreamTimeout
+                } else {
+                    Cause::DeadlineUnreachable
+                };
+                return ExchangeResult::failed(cause, RequestOutcome::Abandoned);
             }
         };
-        self.read_answer(entry, request, connection, head, max_idle)
+        let is_unnamed = head.headers.get(self.names.request_id).is_none();
+        let ready = ReadyConnection {
+            connection,
+            is_new: false,
+            has_unnamed_rejection: has_unnamed_rejection || is_unnamed,
+        };
+        let is_sent = progress.is_complete();
+        self.read_answer(entry, request, ready, head, is_sent, max_idle)
             .await
     }
 
     /// Reads the head of the answer to this request; returns `None` if there are only
     /// answers to other requests.
+    ///
+    /// Some upstreams reject requests without naming them. `has_unnamed_rejection` says
+    /// that this connection has carried such a rejection, of which a further one may be a
+    /// late copy. Every other answer names its request, so that the first rejection
+    /// without a name is for this request.
     async fn read_matching_head(
         &self,
         connection: &mut Connection<TcpStream>,
         request: &ResolvedRequest,
-        is_new: bool,
+        has_unnamed_rejection: bool,
     ) -> h1::Result<Option<ResponseHead>> {
         let limits = HeadLimits::default();
         for _stray in 0..MAX_STRAY_ANSWERS {
             let head = connection.read_response(&limits, &request.method).await?;
             match head.headers.get(self.names.request_id) {
                 Some(id) if id == request.id.as_str() => return Ok(Some(head)),
-                // On a connection that was in use before, it may be a late copy of the
-                // answer to an earlier request.
-                None if is_new && self.is_not_run(&head) => return Ok(Some(head)),
+                None if !has_unnamed_rejection && self.is_not_run(&head) => {
+                    return Ok(Some(head));
+                }
                 None => return Ok(None),
                 Some(_) => {}
             }
@@ -187,14 +217,15 @@
         &self,
         entry: &UpstreamEntry,
         request: &ResolvedRequest,
-        mut connection: Connection<TcpStream>,
+        mut ready: ReadyConnection,
         head: ResponseHead,
+        is_sent: bool,
         max_idle: u32,
     ) -> ExchangeResult {
         let report = head.headers.get(self.names.load).and_then(parse_load);
         let remaining = request.deadline - self.clock.now();
-        let reading = self.read_body(&mut connection, &head);
-        let mut is_reusable = head.keeps_alive;
+        let reading = self.read_body(&mut ready.connection, &head);
+        let mut is_reusable = head.keeps_alive && is_sent;
         let body = match timeout(remaining, reading).await {
             Ok(Ok(body)) => body,
             _ if self.is_not_run(&head) => {
@@ -210,13 +241,8 @@
         };
         if is_reusable {
             let keep_alive = head.headers.get("keep-alive");
-            self.pool.put(
-                self.clock.now(),
-                &entry.id,
-                connection,
-                keep_alive,
-                max_idle,
-            );
+            self.pool
+                .put(self.clock.now(), &entry.id, ready, keep_alive, max_idle);
         }
         if self.is_not_run(&head) {
             let (cause, outcome) = match head.status {
@@ -257,6 +283,15 @@
     }
 }
 
+/// Returns how a request ended whose connection was lost.
+const fn connection_loss_outcome(is_new: bool) -> RequestOutcome {
+    if is_new {
+        RequestOutcome::Reset
+    } else {
+        RequestOutcome::Lost
+    }
+}
+
 /// Parses the load header: "running, waiting, slots".
 fn parse_load(text: &str) -> Option<LoadReport> {
     let mut numbers = text.split(',').map(|part| part.trim().parse().ok());
--- a/crates/front/src/grant_client.rs
+++ b/crates/front/src/grant_client.rs
@@ -1,7 +1,7 @@
 //! Calls to upstreams that grant, renew and release keys.
 
 use crate::adapter::{HeaderNames, UserPlatform};
-use crate::pool::{CONNECT_TIMEOUT, ConnectionChoice, ConnectionPool, ReadyConnection};
+use crate::pool::{CONNECT_TIMEOUT, ConnectionChoice, ConnectionPool};
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use grant::{CallKind, CallReply, GrantCall, GrantTiming};
@@ -78,10 +78,7 @@
             .pool
             .take(now, id, address, choice, CONNECT_TIMEOUT)
             .await;
-        let ReadyConnection {
-            mut connection,
-            is_new,
-        } = match connected {
+        let mut ready = match connected {
             Ok(ready) => ready,
             Err(error) => {
                 warn!(target: "grant", "upstream={id} address={address} error=\"{error}\"");
@@ -94,7 +91,7 @@
         // Connecting took time; a grant must not be sent after the lease has ended.
         if !is_valid() || self.clock.now() > call.send_deadline {
             self.pool
-                .put(self.clock.now(), id, connection, None, MAX_IDLE_CONNECTIONS);
+                .put(self.clock.now(), id, ready, None, MAX_IDLE_CONNECTIONS);
             return CallReply::Unsent;
         }
         let names = self.platform.headers();
@@ -109,21 +106,21 @@
             CallKind::Release => RELEASE_TIMEOUT,
             CallKind::Grant { .. } | CallKind::Probe => self.timing.call_timeout,
         };
-        let exchanging = exchange_on(&mut connection, &bytes, names);
+        let exchanging = exchange_on(&mut ready.connection, &bytes, names);
         match timeout(max_wait, exchanging).await {
             // It may be a copy of an earlier answer. The next call, over a new connection,
             // shows whether the holder has ended.
-            Ok(Ok((CallReply::Ended, _))) if !is_new => self.pool.clear(id),
+            Ok(Ok((CallReply::Ended, _))) if !ready.is_new => self.pool.clear(id),
             Ok(Ok((reply, keeps_alive))) => {
                 if keeps_alive {
                     self.pool
-                        .put(self.clock.now(), id, connection, None, MAX_IDLE_CONNECTIONS);
+                        .put(self.clock.now(), id, ready, None, MAX_IDLE_CONNECTIONS);
                 }
                 return reply;
             }
             Ok(Err(_)) | Err(_) => {}
         }
-        h1::reset(connection.stream());
+        h1::reset(ready.connection.stream());
         CallReply::Unanswered
     }
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -43,6 +43,7 @@
 mod reports;
 mod request;
 mod send_budget;
+mod sending;
 mod view;
 mod wire_load;
 
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -36,6 +36,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection<TcpStream>,
+    has_unnamed_rejection: bool,
     idle_since: Moment,
     expires_at: Moment,
 }
@@ -46,6 +47,20 @@
     pub connection: Connection<TcpStream>,
     /// Whether it has just been opened.
     pub is_new: bool,
+    /// Whether it has carried a rejection that does not name its request. A further one
+    /// may be a late copy of it, and is no proof.
+    pub has_unnamed_rejection: bool,
+}
+
+impl ReadyConnection {
+    /// Returns a connection that has just been opened.
+    pub(crate) const fn new(stream: TcpStream) -> Self {
+        Self {
+            connection: Connection::new(stream),
+            is_new: true,
+            has_unnamed_rejection: false,
+        }
+    }
 }
 
 /// A pool of idle connections to upstreams.
@@ -70,7 +85,7 @@
         timeout: Duration,
     ) -> Result<ReadyConnection, DialError> {
         while choice != ConnectionChoice::New
-            && let Some(idle) = self.pop(id)
+            && let Some(idle) = self.pop(id, choice)
         {
             let must_be_fresh = choice == ConnectionChoice::RecentlyUsed;
             let is_stale =
@@ -79,18 +94,30 @@
                 return Ok(ReadyConnection {
                     connection: idle.connection,
                     is_new: false,
+                    has_unnamed_rejection: idle.has_unnamed_rejection,
                 });
             }
         }
         let stream = dial(address, timeout.min(CONNECT_TIMEOUT)).await?;
-        Ok(ReadyConnection {
-            connection: Connection::new(stream),
-            is_new: true,
-        })
+        Ok(ReadyConnection::new(stream))
     }
 
-    fn pop(&self, id: &UpstreamId) -> Option<IdleConnection> {
-        self.idle.lock().get_mut(id)?.pop()
+    /// Removes the connection that was used last, of those on which an answer is least
+    /// likely to be in doubt.
+    ///
+    /// A client may not repeat a request that must not run twice if a rejection of it is
+    /// in doubt, so that one goes over a new connection instead.
+    fn pop(&self, id: &UpstreamId, choice: ConnectionChoice) -> Option<IdleConnection> {
+        let mut idle = self.idle.lock();
+        let connections = idle.get_mut(id)?;
+        let certain = connections
+            .iter()
+            .rposition(|idle| !idle.has_unnamed_rejection);
+        match certain {
+            Some(index) => Some(connections.remove(index)),
+            None if choice == ConnectionChoice::RecentlyUsed => None,
+            None => connections.pop(),
+        }
     }
 
     /// Adds a connection whose last answer was read completely, unless there are
@@ -99,11 +126,11 @@
         &self,
         now: Moment,
         id: &UpstreamId,
-        connection: Connection<TcpStream>,
+        ready: ReadyConnection,
         keep_alive: Option<&str>,
         max_idle: u32,
     ) {
-        if connection.has_buffered_bytes() {
+        if ready.connection.has_buffered_bytes() {
             return;
         }
         let duration = keep_alive
@@ -115,7 +142,8 @@
             connections.remove(0);
         }
         connections.push(IdleConnection {
-            connection,
+            connection: ready.connection,
+            has_unnamed_rejection: ready.has_unnamed_rejection,
             idle_since: now,
             expires_at: now + duration.saturating_sub(KEEP_ALIVE_MARGIN),
         });
