--- a/crates/ebonytrestle/src/front_host.rs
+++ b/crates/ebonytrestle/src/front_host.rs
@@ -3,7 +3,7 @@
 use crate::signals::SignalReceiver;
 use async_std::future::timeout;
 use eyre::{Result, WrapErr, eyre};
-use front::{FrontHost, LineLog, LoadedPlatform, PlatformPlugin};
+use front::{FrontHost, FrontOptions, LineLog, LoadedPlatform, PlatformPlugin};
 use kernel::find_plugin;
 use log::{LevelFilter, info, warn};
 use simplelog::{ConfigBuilder, WriteLogger};
@@ -15,7 +15,12 @@
 
 /// Runs a host on the platform named `name` until a stop signal arrives, or prints its
 /// settings if `check_only` is set.
-pub(crate) fn run(name: &str, settings: Option<PathBuf>, check_only: bool) -> Result<()> {
+pub(crate) fn run(
+    name: &str,
+    settings: Option<PathBuf>,
+    check_only: bool,
+    options: FrontOptions,
+) -> Result<()> {
     platform::register();
     let plugin = find_plugin::<PlatformPlugin>(name)?;
     let path = match settings {
@@ -35,7 +40,7 @@
         return Ok(());
     }
     start_log()?;
-    async_std::task::block_on(serve(plugin, &path, loaded))
+    async_std::task::block_on(serve(plugin, &path, loaded, options))
 }
 
 fn load_settings(plugin: &PlatformPlugin, path: &Path) -> Result<LoadedPlatform> {
@@ -54,11 +59,16 @@
 }
 
 /// Runs the host and reloads its settings on a signal or when the file has changed.
-async fn serve(plugin: &PlatformPlugin, path: &Path, loaded: LoadedPlatform) -> Result<()> {
+async fn serve(
+    plugin: &PlatformPlugin,
+    path: &Path,
+    loaded: LoadedPlatform,
+    options: FrontOptions,
+) -> Result<()> {
     let signals = SignalReceiver::listen()?;
     let mut settings = loaded.settings.clone();
     let mut loaded_text = std::fs::read_to_string(path).unwrap_or_default();
-    let host = FrontHost::start(loaded).await?;
+    let host = FrontHost::start_with(loaded, options).await?;
     loop {
         let is_requested = match timeout(SETTINGS_POLL_INTERVAL, signals.next()).await {
             Ok(signal) if signal.is_reload() => true,
--- a/crates/ebonytrestle/src/main.rs
+++ b/crates/ebonytrestle/src/main.rs
@@ -8,6 +8,7 @@
 mod signals;
 
 use eyre::{Result, WrapErr, eyre};
+use front::FrontOptions;
 use host::{EntryHost, HostSettings, LogSettings};
 use log::{LevelFilter, info};
 use options::{Command, USAGE};
@@ -58,7 +59,11 @@
             platform,
             settings,
             check_only,
-        } => front_host::run(&platform, settings, check_only),
+            rank_shares,
+        } => {
+            let options = FrontOptions { rank_shares };
+            front_host::run(&platform, settings, check_only, options)
+        }
         Command::Serve(path) => {
             let settings = load_settings(&path)?;
             start_log(&settings.log)?;
--- a/crates/ebonytrestle/src/options.rs
+++ b/crates/ebonytrestle/src/options.rs
@@ -7,11 +7,13 @@
 /// Help text.
 pub(crate) const USAGE: &str = "\
 usage: ebonytrestle --settings FILE [--check]
-       ebonytrestle --platform NAME [--settings FILE] [--check]
+       ebonytrestle --platform NAME [--settings FILE] [--rank-shares] [--check]
 
     -s, --settings FILE  settings in JSON
     -p, --platform NAME  run on a platform, with settings in the platform's format;
                          without --settings, the platform's variable has the path
+        --rank-shares    on a platform, admit requests by shares of ranks when a service
+                         is short; to be set on all hosts
         --check          print the checked settings and exit
     -h, --help           print this help
     -V, --version        print the version
@@ -34,6 +36,8 @@
         settings: Option<PathBuf>,
         /// Whether to print the checked settings instead of running the host.
         check_only: bool,
+        /// Whether requests are admitted by shares of ranks when a service is short.
+        rank_shares: bool,
     },
     /// Print the help text.
     Help,
@@ -58,6 +62,7 @@
         .optopt("s", "settings", "", "FILE")
         .optopt("p", "platform", "", "NAME")
         .optflag("", "check", "")
+        .optflag("", "rank-shares", "")
         .optflag("h", "help", "")
         .optflag("V", "version", "");
     let matches = options
@@ -77,8 +82,12 @@
             platform,
             settings: matches.opt_str("settings").map(PathBuf::from),
             check_only: matches.opt_present("check"),
+            rank_shares: matches.opt_present("rank-shares"),
         });
     }
+    if matches.opt_present("rank-shares") {
+        return Err(UsageError("--rank-shares requires --platform".to_owned()));
+    }
     let Some(path) = matches.opt_str("settings") else {
         return Err(UsageError("--settings is required".to_owned()));
     };
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -5,6 +5,7 @@
 use crate::budgets::RetryBudgets;
 use crate::exchange::Exchanger;
 use crate::metrics::FrontMetrics;
+use crate::rank_shares::RankShares;
 use crate::request::{ClientRequest, ResolvedRequest};
 use crate::view::{FrontView, SharedView};
 use fleet::{KnownUpstream, Presence, UpstreamEntry};
@@ -61,6 +62,8 @@
     pub domain: DomainName,
     pub bounds: SharedBounds,
     pub metrics: FrontMetrics,
+    /// Admission by shares of ranks, if it is enabled.
+    pub rank_shares: Option<RankShares>,
 }
 
 impl DispatchState {
@@ -187,9 +190,14 @@
     ) -> Result<UpstreamAnswer, Refusal> {
         let mut history = AttemptHistory::default();
         self.record_key_load(request);
-        let outcome = self
-            .send_with_retries(request, &mut history, is_client_gone)
-            .await;
+        let slot_ms = self.expected_slot_ms(request);
+        let outcome = match self.refuse_by_rank(request, slot_ms) {
+            Some(refusal) => Err(refusal),
+            None => {
+                self.send_with_retries(request, &mut history, is_client_gone)
+                    .await
+            }
+        };
         // A refusal would say that the request has not run, although an upstream ran it.
         let outcome = match (outcome, history.failed_answer.take()) {
             (Err(_), Some(failed_answer)) => Ok(failed_answer),
@@ -197,10 +205,27 @@
                 outcome.map_err(|refusal| self.final_refusal(request, &history, refusal))
             }
         };
+        if let Some(rank_shares) = &self.state.rank_shares {
+            let verdict = outcome.as_ref().err().map(|refusal| refusal.verdict());
+            rank_shares.record_outcome(request, slot_ms, verdict == Some(Verdict::NotRun));
+        }
         self.log_outcome(request, &history, &outcome);
         outcome
     }
 
+    /// Returns the expected time in a slot, where shares of ranks need it.
+    fn expected_slot_ms(&self, request: &ResolvedRequest) -> Option<f64> {
+        let state = &self.state;
+        state.rank_shares.as_ref()?;
+        let selector = state.selector.lock();
+        selector.expected_slot_ms(state.clock.now(), request.work())
+    }
+
+    fn refuse_by_rank(&self, request: &ResolvedRequest, slot_ms: Option<f64>) -> Option<Refusal> {
+        let rank_shares = self.state.rank_shares.as_ref()?;
+        rank_shares.refuse(self.state.clock.now(), request, slot_ms)
+    }
+
     fn record_key_load(&self, request: &ResolvedRequest) {
         let Some(key) = request.key else {
             return;
@@ -516,7 +541,11 @@
     ) -> DispatchTarget {
         let limits = Self::selection_limits(now, request);
         let mut selector = self.state.selector.lock();
-        let selection = selector.choose(now, request.work(), candidates, &limits);
+        let own_share = |share| match &self.state.rank_shares {
+            Some(rank_shares) => rank_shares.upstream_share(now, request, share),
+            None => share,
+        };
+        let selection = selector.choose_ranked(now, request.work(), candidates, &limits, own_share);
         drop(selector);
         match selection {
             Selection::Send { id, expected } => match view.upstreams.get(&id) {
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -17,6 +17,7 @@
 use crate::peers::PeerRegistry;
 use crate::pool::ConnectionPool;
 use crate::random::RandomSource;
+use crate::rank_shares::RankShares;
 use crate::replica::{FollowedTable, StoreReplica};
 use crate::reports::ReportChannel;
 use crate::send_budget::SendBudget;
@@ -91,6 +92,13 @@
 
 impl std::error::Error for StartFailure {}
 
+/// Options of a host that are no settings of the platform.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FrontOptions {
+    /// Whether requests are admitted by shares of ranks when a service is short.
+    pub rank_shares: bool,
+}
+
 /// A running front host.
 #[derive(Clone, Debug)]
 pub struct FrontHost {
@@ -206,9 +214,16 @@
         u64::from(self.settings.memory_mb) << 20
     }
 
-    fn build_dispatcher(&self) -> Dispatcher {
+    fn build_dispatcher(&self, options: FrontOptions) -> Result<Dispatcher, StartFailure> {
         let memory_bytes = self.memory_bytes();
-        Dispatcher {
+        let rank_shares = if options.rank_shares {
+            let (now, seed) = (self.clock.now(), self.random.next_u64());
+            let rank_shares = RankShares::new(now, seed, &self.metrics);
+            Some(rank_shares.map_err(StartFailure::Metrics)?)
+        } else {
+            None
+        };
+        Ok(Dispatcher {
             state: Arc::new(DispatchState {
                 view: Arc::clone(&self.view),
                 selector: Mutex::new(UpstreamSelector::new(self.random.next_u64())),
@@ -227,8 +242,9 @@
                 domain: self.settings.domain.clone(),
                 bounds: Arc::clone(&self.bounds),
                 metrics: self.metrics.clone(),
+                rank_shares,
             }),
-        }
+        })
     }
 
     fn spawn_pages(&self, ready: TcpListener, metrics: TcpListener, replica: &Arc<StoreReplica>) {
@@ -319,10 +335,22 @@
     ///
     /// Fails when an address can't be bound or a metric can't be registered.
     pub async fn start(loaded: LoadedPlatform) -> Result<Self, StartFailure> {
+        Self::start_with(loaded, FrontOptions::default()).await
+    }
+
+    /// Starts a host with options, which serves until it is stopped.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound or a metric can't be registered.
+    pub async fn start_with(
+        loaded: LoadedPlatform,
+        options: FrontOptions,
+    ) -> Result<Self, StartFailure> {
         let sockets = BoundSockets::bind(&loaded.settings).await?;
         let context = HostContext::new(loaded)?;
         let replica = context.build_replica();
-        let dispatcher = context.build_dispatcher();
+        let dispatcher = context.build_dispatcher(options)?;
         let request_memory = BodyMemory::new(context.memory_bytes() / REQUEST_FRACTION);
         let clients = ClientServer::new(dispatcher.clone(), request_memory);
         let scope = &context.scope;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -39,6 +39,7 @@
 mod peers;
 mod pool;
 mod random;
+mod rank_shares;
 mod replica;
 mod reports;
 mod request;
@@ -46,10 +47,11 @@
 mod sending;
 mod view;
 mod wire_load;
+mod wire_share;
 
 pub use adapter::{
     DecodeError, FrontBounds, FrontSettings, HeaderNames, LoadedPlatform, PlatformPlugin,
     StoreTables, UpstreamCall, UserPlatform,
 };
-pub use host::{FrontHost, StartFailure};
+pub use host::{FrontHost, FrontOptions, StartFailure};
 pub use logs::LineLog;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -90,6 +90,11 @@
             .observe(duration.as_secs_f64());
     }
 
+    /// Returns the registry, for metrics of parts that are not always in use.
+    pub(crate) fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> String {
         let mut bytes = Vec::new();
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -503,6 +503,11 @@
         self.state.lock().fleet_loads.slowness(id)
     }
 
+    /// Passes the loads of upstreams that all hosts observed to `read`.
+    pub(crate) fn read_fleet_loads<T>(&self, read: impl FnOnce(&FleetLoads) -> T) -> T {
+        read(&self.state.lock().fleet_loads)
+    }
+
     /// Applies a host's report, which came from `address`, with the loads that it
     /// observed.
     pub(crate) fn apply_report(
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -14,6 +14,7 @@
 use crate::replica::StoreReplica;
 use crate::send_budget::SendBudget;
 use crate::wire_load::{WireLoad, WireObservation};
+use crate::wire_share::{WireDemand, WireServiceShares};
 use async_std::net::UdpSocket;
 use fleet::EntryChange;
 use grant::PreviousTerm;
@@ -71,6 +72,7 @@
             if self.socket.local_addr().ok() == Some(leader) {
                 self.apply_report(&report, leader);
                 self.set_fleet_loads(&self.peers.next_fleet_loads());
+                self.set_rank_shares(self.rank_shares());
                 continue;
             }
             if let Some(bytes) = encode(&PeerMessage::Report(report)) {
@@ -168,6 +170,7 @@
             } else {
                 Vec::new()
             },
+            rank_shares: self.rank_shares(),
         };
         let changes = self.replica.entry_changes_since(known.entries);
         let mut replies = vec![first];
@@ -192,6 +195,22 @@
         replies
     }
 
+    /// Returns the shares of ranks that this host tells as the leader; none without them.
+    fn rank_shares(&self) -> Vec<WireServiceShares> {
+        let state = &self.dispatcher.state;
+        let rank_shares = state.rank_shares.as_ref();
+        rank_shares.map_or_else(Vec::new, |shares| {
+            shares.shares(state.clock.now(), &state.view.load(), &self.peers)
+        })
+    }
+
+    fn set_rank_shares(&self, told: Vec<WireServiceShares>) {
+        let state = &self.dispatcher.state;
+        if let Some(rank_shares) = &state.rank_shares {
+            rank_shares.set_shares(state.clock.now(), told);
+        }
+    }
+
     fn set_fleet_loads(&self, fleet_loads: &[WireLoad]) {
         let state = &self.dispatcher.state;
         let view = state.view.load();
@@ -217,6 +236,12 @@
             observed.push((id.clone(), ObservedLoad::from(*load)));
         }
         self.peers.apply_report(report, &observed, from);
+        let state = &self.dispatcher.state;
+        if let Some(rank_shares) = &state.rank_shares
+            && self.peers.is_leading()
+        {
+            rank_shares.record_demand(state.clock.now(), &report.host, &report.demand);
+        }
     }
 
     fn report(&self) -> HostReport {
@@ -242,6 +267,12 @@
                 entries: self.replica.entries_version(),
                 sheet: self.replica.sheet_version(),
             },
+            demand: state
+                .rank_shares
+                .as_ref()
+                .map_or_else(WireDemand::default, |shares| {
+                    shares.drain_demand(state.clock.now())
+                }),
         }
     }
 
@@ -326,6 +357,7 @@
                         .budgets
                         .set_host_count(reply.host_count);
                     self.set_fleet_loads(&reply.fleet_loads);
+                    self.set_rank_shares(reply.rank_shares);
                     let changes = reply.entries.into_iter().map(EntryChange::from);
                     let changes: Vec<EntryChange> = changes.collect();
                     self.replica
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -32,6 +32,8 @@
     target: String,
     headers: HeaderList,
     body: HeldBody,
+    /// Time that the client said it had left, which the route's timeout does not shorten.
+    pub client_time_left: Duration,
 }
 
 impl ResolvedRequest {
@@ -99,6 +101,7 @@
             headers,
             body,
             route,
+            client_time_left: client_timeout_ms.map_or(timeout, Duration::from_millis),
         })
     }
 
--- a/crates/kernel/src/verdict.rs
+++ b/crates/kernel/src/verdict.rs
@@ -125,6 +125,8 @@
     KeyMisplaced => "key-misplaced", 503, NotRun, true;
     /// Every upstream that could run the request is expected to take too long.
     Overloaded => "overloaded", 503, NotRun, false;
+    /// The share of the request's rank is used up, as its service is short.
+    ShareExceeded => "share-exceeded", 503, NotRun, false;
     /// No connection to the upstream could be made, so nothing was sent.
     UpstreamUnreachable => "upstream-unreachable", 503, NotRun, true;
     /// Requests with the same fingerprint have crashed upstreams.
--- a/crates/place/src/fleet_loads.rs
+++ b/crates/place/src/fleet_loads.rs
@@ -106,6 +106,12 @@
         self.upstreams.get(id)?.load.slowness
     }
 
+    /// Returns the mean of the occupancies that the upstream reported, as a fraction of its
+    /// slots.
+    pub fn occupancy_ratio(&self, id: &str) -> Option<f64> {
+        self.upstreams.get(id)?.load.occupancy_ratio
+    }
+
     /// Works out the shares from the reports since the last call, and returns the loads
     /// of the upstreams with an observation within the last `max_age`.
     pub fn update(&mut self, now: Moment, max_age: Duration) -> Vec<(UpstreamId, FleetLoad)> {
--- a/crates/place/src/selector.rs
+++ b/crates/place/src/selector.rs
@@ -155,12 +155,25 @@
         work: RequestWork<'_>,
         candidates: &[UpstreamCandidate],
         limits: &SelectionLimits,
+    ) -> Selection {
+        self.choose_ranked(now, work, candidates, limits, |share| share)
+    }
+
+    /// Selects the upstream for a request. `own_share` returns the fraction of the requests
+    /// of its rank that an upstream with room for a fraction of all its requests admits.
+    pub fn choose_ranked(
+        &mut self,
+        now: Moment,
+        work: RequestWork<'_>,
+        candidates: &[UpstreamCandidate],
+        limits: &SelectionLimits,
+        own_share: impl Fn(f64) -> f64,
     ) -> Selection {
         let mut mean_work = self.mean_work(now, work);
         if let [sole] = candidates {
             // Other upstreams tell nothing about the one that holds a key.
             mean_work.occupancy_ratio = 0.0;
-            if let Some(retry_after) = self.refuse_share(now, sole, limits) {
+            if let Some(retry_after) = self.refuse_share(now, sole, limits, own_share) {
                 return Selection::Refuse { retry_after };
             }
         }
@@ -207,9 +220,13 @@
         now: Moment,
         sole: &UpstreamCandidate,
         limits: &SelectionLimits,
+        own_share: impl Fn(f64) -> f64,
     ) -> Option<Duration> {
         let state = self.upstreams.get_mut(&sole.id)?;
-        let share = state.admitted_share(now);
+        let share = match state.admitted_share(now) {
+            share if share < 1.0 => own_share(share),
+            share => share,
+        };
         if self.rng.f64() < share {
             return None;
         }
@@ -299,6 +316,13 @@
         Some(Duration::from_secs_f64(service_ms / 1_000.0))
     }
 
+    /// Returns the expected time in a slot of a route's requests, in milliseconds, or else
+    /// that of its service's, if one has been measured.
+    pub fn expected_slot_ms(&self, now: Moment, work: RequestWork<'_>) -> Option<f64> {
+        let route_ms = self.work_times.route_ms(now, work);
+        route_ms.or_else(|| self.work_times.service_ms(work.service))
+    }
+
     fn mean_work(&self, now: Moment, work: RequestWork<'_>) -> MeanWork {
         MeanWork {
             unit_ms: self.work_times.service_ms(work.service),
--- a/crates/share/src/gate.rs
+++ b/crates/share/src/gate.rs
@@ -101,6 +101,14 @@
             .retain(|_, known| now - known.received_at < MAX_AGE);
     }
 
+    /// Returns whether any rank of a service is limited now.
+    pub fn is_limited(&self, now: Moment, service: &ServiceName) -> bool {
+        self.services.get(service).is_some_and(|known| {
+            now - known.received_at < MAX_AGE
+                && known.shares.iter().any(|share| share.fraction < 1.0)
+        })
+    }
+
     /// Returns the fraction of a rank to admit now; 1 without recent shares.
     pub fn fraction(&self, now: Moment, service: &ServiceName, rank: u32) -> f64 {
         let Some(known) = self.services.get(service) else {
@@ -153,7 +161,9 @@
         );
         let (from, to) = NO_PROMISE_WAIT;
         let unpromised = from + (to - from) * self.rng.f64();
-        let promise = next.filter(|_| is_promised);
+        // A client that would come too late for its target yields to others, so that a
+        // promise to it could not be kept.
+        let promise = next.filter(|next| is_promised && !request.is_late(elapsed + next.wait));
         GateDecision::Refuse {
             retry_after: promise.map_or(request.time_left.mul_f64(unpromised), |next| next.wait),
             is_promised: promise.is_some(),
--- a/crates/share/src/ledger.rs
+++ b/crates/share/src/ledger.rs
@@ -23,20 +23,25 @@
 /// Fraction of the planned capacity below which the demand of a limited service has to
 /// fall until all of it is admitted again.
 const RELEASE_FRACTION: f64 = 0.95;
-/// Occupancy (requests per slot) below which a service has room, whatever its expected
-/// capacity says.
-const ROOM_OCCUPANCY: f64 = 0.85;
-/// Occupancy from which a service may become limited.
+/// Occupancy (requests per slot) from which a service may become limited.
 const FULL_OCCUPANCY: f64 = 0.95;
-/// Occupancy above which the queues of a limited service are too long.
-const LONG_OCCUPANCY: f64 = 1.6;
-/// Factors by which the capacity is corrected within a second, while a limited service has
-/// room and while its queues are too long.
-const CORRECTION_RATES: (f64, f64) = (1.2, 0.93);
+/// Occupancy to which a limited service is brought. Below one, slots are free although
+/// requests are refused; what waits beyond that evens out arrivals, and an upstream with
+/// a few slots reports more than its mean, as it answers while it is busy.
+const TARGET_OCCUPANCY: f64 = 1.1;
+/// Rates at which the capacity is corrected upwards and downwards for each request per slot
+/// that is missing or too many, per second. Expected slot times include some of the waiting,
+/// and may be wrong by half.
+const CORRECTION_GAINS: (f64, f64) = (0.6, 0.2);
+/// Maximum difference to the target occupancy that counts for the correction.
+const MAX_OCCUPANCY_ERROR: f64 = 0.4;
+/// Fraction of the smoothed occupancy below which a queue is becoming shorter. The capacity
+/// suffices then, and to lower it for a queue from before the limit would leave slots free.
+const DRAINING_FRACTION: f64 = 0.97;
 /// Range of the correction.
 const CORRECTION_RANGE: (f64, f64) = (0.4, 2.5);
 /// Part of the capacity by which a limited service is planned lower for each request per
-/// slot beyond one, so that a queue becomes shorter, and higher while slots are free.
+/// slot beyond the target, so that a queue becomes shorter, and higher while slots are free.
 const QUEUE_GAIN: f64 = 0.25;
 /// Range of the factor that follows from the queue.
 const QUEUE_FACTOR_RANGE: (f64, f64) = (0.8, 1.1);
@@ -223,32 +228,39 @@
 
 impl ServiceState {
     fn planned(&self, capacity: ServiceCapacity) -> f64 {
-        let occupancy = self.occupancy.unwrap_or(1.0);
+        let error = self.occupancy_error();
         let (min, max) = QUEUE_FACTOR_RANGE;
-        let queue_factor = (1.0 + QUEUE_GAIN * (1.0 - occupancy)).clamp(min, max);
+        let queue_factor = (1.0 + QUEUE_GAIN * error).clamp(min, max);
         capacity.slots * PLANNED_FRACTION * self.correction * queue_factor
     }
 
+    /// Returns by how much the occupancy is below its target.
+    fn occupancy_error(&self) -> f64 {
+        self.occupancy
+            .map_or(0.0, |occupancy| TARGET_OCCUPANCY - occupancy)
+    }
+
     fn update(&mut self, elapsed: Duration, total: f64, capacity: ServiceCapacity) {
         let seconds = elapsed.as_secs_f64();
         let keep = 0.5_f64.powf(seconds / OCCUPANCY_HALF_LIFE.as_secs_f64());
+        let is_draining = matches!(
+            (self.occupancy, capacity.occupancy),
+            (Some(smoothed), Some(now)) if now < smoothed * DRAINING_FRACTION
+        );
         self.occupancy = match (self.occupancy, capacity.occupancy) {
             (Some(smoothed), Some(now)) => Some(now + (smoothed - now) * keep),
             (smoothed, now) => now.or(smoothed),
         };
-        let has_room = self
-            .occupancy
-            .is_some_and(|occupancy| occupancy < ROOM_OCCUPANCY);
-        let has_long_queues = self
-            .occupancy
-            .is_some_and(|occupancy| occupancy > LONG_OCCUPANCY);
         if self.is_limited {
-            let (up, down) = CORRECTION_RATES;
-            if has_room {
-                self.correction *= up.powf(seconds);
-            } else if has_long_queues {
-                self.correction *= down.powf(seconds);
-            }
+            let (min, max) = (-MAX_OCCUPANCY_ERROR, MAX_OCCUPANCY_ERROR);
+            let error = self.occupancy_error().clamp(min, max);
+            let (up_gain, down_gain) = CORRECTION_GAINS;
+            let gain = match error {
+                _ if error > 0.0 => up_gain,
+                _ if is_draining => 0.0,
+                _ => down_gain,
+            };
+            self.correction *= (gain * error * seconds).exp();
         } else {
             let keep = 0.5_f64.powf(seconds / CORRECTION_HALF_LIFE.as_secs_f64());
             self.correction = 1.0 + (self.correction - 1.0) * keep;
--- a/crates/share/src/returns.rs
+++ b/crates/share/src/returns.rs
@@ -10,9 +10,9 @@
 use std::time::Duration;
 
 /// Times since a client's start, as fractions of the target latency, between which it is
-/// told to return. A return in the first can still be answered within the target; each
-/// further one is for a client that was refused again.
-const RETURN_WINDOWS: [(f64, f64); 3] = [(0.15, 0.45), (0.6, 1.2), (1.8, 3.0)];
+/// told to return, so that it can still be answered within the target. The second is for a
+/// client that was refused again.
+const RETURN_WINDOWS: [(f64, f64); 2] = [(0.15, 0.45), (0.6, 0.9)];
 /// Minimum wait before a return; a shorter one would find the same load.
 const MIN_WAIT: Duration = Duration::from_millis(40);
 /// Maximum fraction of the time left that a client waits; it gives up rather than wait
--- a/crates/share/tests/shares.rs
+++ b/crates/share/tests/shares.rs
@@ -3,8 +3,13 @@
 mod common;
 
 use common::{Kind, Retry, World};
+use kernel::{Moment, ServiceName};
 use rstest::rstest;
-use share::{RankDemand, RankShare, rank_fractions, share_at_upstream};
+use share::{
+    GateDecision, GateRequest, RankDemand, RankShare, ServiceShares, ShareGate, rank_fractions,
+    share_at_upstream,
+};
+use std::time::Duration;
 
 /// Demands of the ranks that together are `total` times the capacity.
 fn kinds(total: f64) -> [Kind; 3] {
@@ -208,3 +213,50 @@
     assert!(urgent > 0.99 && other < 0.2, "{urgent} {other}");
     assert!((0.4 * urgent + 0.6 * other - 0.5).abs() < 1e-9);
 }
+
+/// Requests that can't be answered within their target took the slots of those that can.
+#[test]
+fn decide_late_work_yields_to_work_in_time() {
+    let service = ServiceName::from("charts");
+    let now = Moment::from_millis(5_000);
+    let share = |rank, fraction| RankShare {
+        rank,
+        fraction,
+        weight: 0.5,
+    };
+    let mut gate = ShareGate::new(1);
+    gate.set_shares(
+        now,
+        vec![ServiceShares {
+            service: service.clone(),
+            shares: vec![share(0, 0.9), share(1, 0.1)],
+        }],
+    );
+    let mut admit = |slot_ms| {
+        let mut count = 0;
+        for fingerprint in 0..200 {
+            let request = GateRequest {
+                service: &service,
+                route: "order",
+                rank: 0,
+                fingerprint,
+                target: Duration::from_millis(800),
+                time_left: Duration::from_secs(5),
+                slot_ms: Some(slot_ms),
+            };
+            let decision = gate.decide(now, &request);
+            if let GateDecision::Refuse { retry_after, .. } = decision {
+                assert!(retry_after > Duration::from_millis(40), "{retry_after:?}");
+                assert!(
+                    retry_after <= Duration::from_millis(1_650),
+                    "{retry_after:?}"
+                );
+            }
+            count += u32::from(matches!(decision, GateDecision::Admit { .. }));
+        }
+        count
+    };
+    let (in_time, late) = (admit(160.0), admit(900.0));
+    assert!((178..=182).contains(&in_time), "{in_time}");
+    assert!((18..=23).contains(&late), "{late}");
+}
--- a/crates/trestlectl/src/explain.rs
+++ b/crates/trestlectl/src/explain.rs
@@ -149,6 +149,11 @@
              as not run."
                 .to_owned()
         }
+        "share-exceeded" => {
+            "Its service was short and the share of its rank used up, so it was refused as not \
+             run: look for the lines of target share."
+                .to_owned()
+        }
         "shard-moving" => {
             "Its key had no holder: look for a release of the key that took long, or for a \
              leader that was lost."
