Recognize returning clients only where a route has one deadline

The time left tells how long a client has waited only if all clients of the route begin with the same. A route needs three tenths of its requests at the greatest time left, and a request two fifths of it, else nobody counts as having waited.

--- a/crates/share/src/returns.rs
+++ b/crates/share/src/returns.rs
@@ -25,6 +25,17 @@
 const LATE_TOLERANCE: Duration = Duration::from_millis(60);
 /// Period after which the usual time left of a route's clients is learned anew.
 const LEARN_PERIOD: Duration = Duration::from_secs(20);
+/// Difference in the time left below which two clients count as having the same deadline.
+const SAME_DEADLINE: Duration = Duration::from_millis(50);
+/// Fraction of a route's requests that must arrive with the greatest time left. Where fewer
+/// do, its clients have several deadlines, and the time left tells nothing. Clients return
+/// at most twice, so that at least a third of the requests are first attempts.
+const MIN_FIRST_FRACTION: f64 = 0.3;
+/// Number of requests from which that fraction is judged.
+const MIN_REQUESTS: u32 = 6;
+/// Fraction of the greatest time left below which a request has another deadline: a client
+/// that waited twice for a third of what it had left has more.
+const MIN_LEFT_FRACTION: f64 = 0.4;
 /// Maximum number of routes that are remembered.
 const MAX_ROUTES: usize = 1_024;
 /// Multipliers that turn a fingerprint into one number for each window (from splitmix64).
@@ -42,8 +53,29 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct FirstTimeLeft {
     period_started_at: Moment,
-    current: Duration,
-    previous: Duration,
+    current: SeenTimes,
+    previous: SeenTimes,
+}
+
+/// Times left of the requests of one period.
+#[derive(Clone, Copy, Debug, Default)]
+struct SeenTimes {
+    greatest: Duration,
+    requests: u32,
+    /// Requests that had about the greatest.
+    first_attempts: u32,
+}
+
+impl SeenTimes {
+    fn record(&mut self, time_left: Duration) {
+        if time_left > self.greatest + SAME_DEADLINE {
+            self.first_attempts = 0;
+        }
+        self.greatest = self.greatest.max(time_left);
+        self.requests = self.requests.saturating_add(1);
+        let is_first = time_left + SAME_DEADLINE >= self.greatest;
+        self.first_attempts += u32::from(is_first);
+    }
 }
 
 /// Computes when clients should return.
@@ -53,7 +85,8 @@
 }
 
 impl ReturnPlan {
-    /// Returns the time since the client of a request began, as far as its time left tells.
+    /// Returns the time since the client of a request began, as far as its time left tells;
+    /// zero if it tells nothing.
     pub fn elapsed(&mut self, now: Moment, route: &str, time_left: Duration) -> Duration {
         if !self.routes.contains_key(route) {
             if self.routes.len() >= MAX_ROUTES {
@@ -67,8 +100,18 @@
             known.previous = std::mem::take(&mut known.current);
             known.period_started_at = now;
         }
-        known.current = known.current.max(time_left);
-        known.current.max(known.previous).saturating_sub(time_left)
+        known.current.record(time_left);
+        let greatest = known.current.greatest.max(known.previous.greatest);
+        let requests = known.current.requests + known.previous.requests;
+        let first_attempts = known.current.first_attempts + known.previous.first_attempts;
+        let is_same_deadline = requests >= MIN_REQUESTS
+            && f64::from(first_attempts) >= f64::from(requests) * MIN_FIRST_FRACTION
+            && time_left >= greatest.mul_f64(MIN_LEFT_FRACTION);
+        if is_same_deadline {
+            greatest.saturating_sub(time_left)
+        } else {
+            Duration::ZERO
+        }
     }
 
     /// Returns whether a client that began `elapsed` ago comes when it was told to.
--- a/crates/share/tests/shares.rs
+++ b/crates/share/tests/shares.rs
@@ -6,8 +6,8 @@
 use kernel::{Moment, ServiceName};
 use rstest::rstest;
 use share::{
-    GateDecision, GateRequest, RankDemand, RankShare, ServiceShares, ShareGate, rank_fractions,
-    share_at_upstream,
+    GateDecision, GateRequest, RankDemand, RankShare, ReturnPlan, ServiceShares, ShareGate,
+    rank_fractions, share_at_upstream,
 };
 use std::time::Duration;
 
@@ -260,3 +260,29 @@
     assert!((178..=182).contains(&in_time), "{in_time}");
     assert!((18..=23).contains(&late), "{late}");
 }
+
+/// Clients of one route with a shorter deadline than others were taken for clients that had
+/// waited for seconds, whose answers would be late in any case.
+#[rstest]
+#[case::many_shorter(5, 2_600, Duration::ZERO)]
+#[case::much_shorter(2, 1_500, Duration::ZERO)]
+#[case::returning(2, 4_700, Duration::from_millis(300))]
+fn elapsed_tells_returning_clients_from_other_deadlines(
+    #[case] group: u64,
+    #[case] time_left_ms: u64,
+    #[case] elapsed: Duration,
+) {
+    let mut plan = ReturnPlan::default();
+    for index in 0..200 {
+        let now = Moment::from_millis(1_000 + index * 10);
+        if index % group == 0 {
+            let first = plan.elapsed(now, "read", Duration::from_secs(5));
+            assert_eq!(first, Duration::ZERO);
+            continue;
+        }
+        let other = plan.elapsed(now, "read", Duration::from_millis(time_left_ms));
+        if index > 50 {
+            assert_eq!(other, elapsed);
+        }
+    }
+}
