--- a/crates/share/src/ledger.rs
+++ b/crates/share/src/ledger.rs
@@ -39,7 +39,10 @@
 /// suffices then, and to lower it for a queue from before the limit would leave slots free.
 const DRAINING_FRACTION: f64 = 0.97;
 /// Range of the correction.
-const CORRECTION_RANGE: (f64, f64) = (0.4, 2.5);
+const CORRECTION_RANGE: (f64, f64) = (0.6, 2.5);
+/// Rate of the upward correction while slots are free although requests are refused, such as
+/// after a spell in which the upstreams were slow.
+const FREE_SLOTS_GAIN: f64 = 0.8;
 /// Part of the capacity by which a limited service is planned lower for each request per
 /// slot beyond the target, so that a queue becomes shorter, and higher while slots are free.
 const QUEUE_GAIN: f64 = 0.3;
@@ -255,7 +258,11 @@
             let (min, max) = (-MAX_OCCUPANCY_ERROR, MAX_OCCUPANCY_ERROR);
             let error = self.occupancy_error().clamp(min, max);
             let (up_gain, down_gain) = CORRECTION_GAINS;
+            let has_free_slots = self
+                .occupancy
+                .is_some_and(|occupancy| occupancy < FULL_OCCUPANCY);
             let gain = match error {
+                _ if has_free_slots => FREE_SLOTS_GAIN,
                 _ if error > 0.0 => up_gain,
                 _ if is_draining => 0.0,
                 _ => down_gain,
