Reject responses whose status is not in 100 to 599

A failing upstream answered with status 000, and the client got it as a response. The parser accepted 000, 001, 099, 600 and 999, and skipped a 101 that nothing asked for. Both are now malformed, so that a request that must not run twice gets 502 and others are sent elsewhere.

A request that an upstream may have run got 408, 429 or 503 if the next upstream answered so without the header that marks a refusal. These statuses promise that nothing ran; such a client now gets 502, or the server error of the upstream that ran the request.

The JSON client took an interim response for the final one and pooled its connection, on which the next request read the final response of the one before. It now counts as no answer.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -20,6 +20,14 @@
     pub is_bodiless: bool,
 }
 
+impl UpstreamAnswer {
+    /// Returns whether the status promises a client that its request has not run, and that
+    /// it may send the request again. An upstream can promise it only for itself.
+    pub(crate) const fn says_not_run(&self) -> bool {
+        matches!(self.status, 408 | 421 | 429 | 503)
+    }
+}
+
 /// Encodes the head of an upstream's answer for the client.
 pub(crate) fn encode_answer_head(answer: &UpstreamAnswer, keeps_alive: bool) -> Vec<u8> {
     let mut headers = HeaderList::new();
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -113,6 +113,16 @@
     failed_answer: Option<UpstreamAnswer>,
 }
 
+impl AttemptHistory {
+    /// Keeps a server error; one of an upstream that has run the request outweighs one
+    /// that says that it has not.
+    fn record_failed(&mut self, answer: UpstreamAnswer) {
+        if self.failed_answer.is_none() || !answer.says_not_run() {
+            self.failed_answer = Some(answer);
+        }
+    }
+}
+
 /// Where a request can go now.
 enum DispatchTarget {
     /// The upstream, and the expected time until its answer.
@@ -193,10 +203,15 @@
         // A refusal would say that the request has not run, although an upstream ran it.
         let outcome = match (outcome, history.failed_answer.take()) {
             (Err(_), Some(failed_answer)) => Ok(failed_answer),
+            (Ok(answer), Some(failed_answer)) if answer.says_not_run() => Ok(failed_answer),
             (outcome, _) => {
                 outcome.map_err(|refusal| self.final_refusal(request, &history, refusal))
             }
         };
+        let outcome = match (outcome, history.uncertain_cause) {
+            (Ok(answer), Some(cause)) if answer.says_not_run() => Err(cause.into()),
+            (outcome, _) => outcome,
+        };
         self.log_outcome(request, &history, &outcome);
         outcome
     }
@@ -272,7 +287,7 @@
                     if !has_attempts_left {
                         return Ok(answer);
                     }
-                    history.failed_answer = Some(answer);
+                    history.record_failed(answer);
                 }
                 Err(cause) => {
                     history.last_cause = Some(cause);
--- a/crates/h1/src/connection.rs
+++ b/crates/h1/src/connection.rs
@@ -126,6 +126,10 @@
         let head = parse_response(&self.buffered()[..end], limits, method);
         self.consume(end);
         let head = head?;
+        // No request asks for an upgrade, and what follows a 101 is not HTTP.
+        if head.status == 101 {
+            return Err(Error::Malformed("unsolicited switch of protocols"));
+        }
         if (100..200).contains(&head.status) {
             return Ok(ResponsePart::Interim);
         }
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -1,6 +1,11 @@
 //! Parsing of heads, and the checks that determine a message's framing.
 
 use crate::{BodyLength, Error, Result};
+use std::ops::RangeInclusive;
+
+/// Status codes with a meaning (RFC 9110, section 15). An upstream that fails may send
+/// others.
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
 
 /// Limits on the size of a head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -177,6 +182,9 @@
         Err(_parse_error) => return Err(Error::Malformed("invalid response head")),
     }
     let status = response.code.unwrap_or_default();
+    if !VALID_STATUSES.contains(&status) {
+        return Err(Error::Malformed("status is not in 100 to 599"));
+    }
     let is_http_1_1 = response.version == Some(1);
     let headers = parse_headers(response.headers)?;
     let has_no_body = method == "HEAD" || status == 204 || status == 304;
--- a/crates/h1/tests/messages.rs
+++ b/crates/h1/tests/messages.rs
@@ -55,6 +55,41 @@
     assert!(matches!(read_response(bytes), Err(Error::Malformed(_))));
 }
 
+/// A status outside 100 to 599 has no meaning for a client, and one that nothing gives a
+/// meaning must not be passed on as the answer of an upstream that has failed.
+#[rstest]
+fn response_invalid_status_is_an_error(
+    #[values(
+        "000", "001", "099", "600", "999", "20", "2000", "-20", "+20", "2x0", " 20", ""
+    )]
+    status: &str,
+) {
+    for body in ["content-length: 4\r\n\r\nbody", "\r\n"] {
+        let text = format!("HTTP/1.1 {status} X\r\n{body}");
+        let read = read_response(text.as_bytes());
+        assert!(
+            matches!(read, Err(Error::Malformed(_))),
+            "{text:?} {read:?}"
+        );
+    }
+}
+
+#[rstest]
+fn response_valid_status_is_read(#[values(200, 299, 404, 451, 500, 599)] status: u16) {
+    let text = format!("HTTP/1.1 {status} X\r\ncontent-length: 4\r\n\r\nbody");
+    let read = read_response(text.as_bytes()).unwrap();
+    assert_eq!(read, (status, b"body".to_vec()));
+}
+
+/// What follows a 101 is not HTTP, so that a success behind it is not the answer to the
+/// request.
+#[test]
+fn response_switching_protocols_is_an_error() {
+    let bytes = b"HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\n\
+        HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody";
+    assert!(matches!(read_response(bytes), Err(Error::Malformed(_))));
+}
+
 #[test]
 fn buffered_bytes_remain_after_response() {
     block_on(async {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -191,6 +191,11 @@
         let mut response = async_h1::connect(stream.clone(), request)
             .await
             .map_err(no_answer)?;
+        // The final answer is still to come, and the next request on this connection would
+        // take it for its own.
+        if response.status().is_informational() {
+            return Err(ClientError::NoAnswer("interim answer".to_owned()));
+        }
         let length = response.len();
         let body = response.body_bytes().await.map_err(no_answer)?;
         if length.is_some_and(|length| length != body.len()) {
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -34,6 +34,10 @@
 #[case::cut("HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\n[]")]
 #[case::garbage("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n{")]
 #[case::broken("HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n")]
+#[case::status_zero("HTTP/1.1 000 Odd\r\ncontent-length: 2\r\n\r\n[]")]
+#[case::status_600("HTTP/1.1 600 Odd\r\ncontent-length: 2\r\n\r\n[]")]
+#[case::status_999("HTTP/1.1 999 Odd\r\ncontent-length: 2\r\n\r\n[]")]
+#[case::protocol("HTTP/1.1 101 Switching Protocols\r\ncontent-length: 2\r\n\r\n[]")]
 fn commit_unknown_without_answer(#[case] answer: &'static str) {
     block_on(async {
         let platform = HttpPlatform::new(&serve(answer).await, &[], TIMEOUT);
@@ -82,3 +86,21 @@
         );
     });
 }
+
+/// An interim answer is not the end of the exchange: the connection is not used again, as
+/// the next request on it would take the final answer for its own.
+#[rstest]
+#[case::interim("HTTP/1.1 100 Continue\r\n\r\n")]
+#[case::protocol("HTTP/1.1 101 Switching Protocols\r\ncontent-length: 2\r\n\r\n[]")]
+fn client_interim_answer_is_no_answer(#[case] answer: &'static str) {
+    block_on(async {
+        let client = JsonClient::new(&serve(answer).await, TIMEOUT);
+        for _ in 0..2 {
+            let outcome = client.send(Method::Post, "/", &[]).await;
+            assert!(
+                matches!(outcome, Err(ClientError::NoAnswer(_))),
+                "{outcome:?}"
+            );
+        }
+    });
+}
