Answer the last connections of a stop before it ends

Requests count as in flight only from their first byte, so that a connection which had just been accepted, or had its request under way, was dropped with the tasks; with several threads a request could also be read between the last count and the end.

The stop now closes its listener first, after accepting what waits there, and ends when no request has begun for 60 ms. A request that begins in the moment of the end either keeps the host running or is not read.

--- a/crates/front/src/client_reader.rs
+++ b/crates/front/src/client_reader.rs
@@ -60,7 +60,9 @@
         Err(_elapsed) => return ReadOutcome::Idle,
     }
     let received_at = server.dispatcher.state.clock.now();
-    let guard = server.begin_request();
+    let Some(guard) = server.begin_request() else {
+        return ReadOutcome::Closed;
+    };
     let head_limits = HeadLimits {
         max_bytes: client_limits.head_bytes,
         ..HeadLimits::default()
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -34,9 +34,9 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Weak};
+use std::time::{Duration, Instant};
 use store::RowStore;
 
 /// Fraction of the host's memory that the bodies of all requests together may take. The
@@ -54,8 +54,12 @@
 /// Fraction of the time until the process is killed within which a stop must end.
 const STOP_FRACTION: f64 = 0.9;
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Time for the last answers to leave the machine.
+/// Time for the last answers to leave the machine, and for the requests of connections
+/// that were just accepted to arrive.
 const LINGER_DURATION: Duration = Duration::from_millis(60);
+/// Time that a stop keeps for its last connections after it has closed its listener.
+const MAX_CLOSE_DURATION: Duration = Duration::from_millis(240);
+const LISTENER_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Interval at which expired upstreams and connections are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum number of upstreams that a host probes in one sweep: 20 connections per
@@ -101,6 +105,8 @@
     dispatcher: Dispatcher,
     is_stopping: Arc<AtomicBool>,
     scope: TaskScope,
+    /// The listener for clients, for as long as connections are accepted.
+    listener: Weak<TcpListener>,
 }
 
 #[derive(Debug)]
@@ -327,6 +333,7 @@
         let clients = ClientServer::new(dispatcher.clone(), request_memory);
         let scope = &context.scope;
         let (listener, server) = (Arc::new(sockets.clients), clients.clone());
+        let open_listener = Arc::downgrade(&listener);
         let connections = scope.clone();
         scope.spawn_restarting("clients", move || {
             server
@@ -370,9 +377,15 @@
             dispatcher: host_dispatcher,
             is_stopping: context.is_stopping,
             scope: context.scope,
+            listener: open_listener,
         })
     }
 
+    /// Returns the number of connections that the host has accepted from clients.
+    pub fn accepted_connections(&self) -> u64 {
+        self.clients.accepted()
+    }
+
     /// Applies changed settings, and returns the names of those that take effect only
     /// after a restart.
     ///
@@ -410,16 +423,20 @@
         let notice_duration = BALANCER_NOTICE_DURATION.min(max_duration / 2);
         async_std::task::sleep(notice_duration).await;
         self.clients.close();
-        let mut elapsed = notice_duration;
+        let stop_at = Instant::now() + (max_duration - notice_duration);
+        self.wait_until_answered(stop_at - MAX_CLOSE_DURATION).await;
+        self.clients.stop_accepting();
+        while self.listener.strong_count() > 0 && Instant::now() < stop_at {
+            async_std::task::sleep(LISTENER_POLL_INTERVAL).await;
+        }
         loop {
-            while self.clients.in_flight() > 0 && elapsed < max_duration {
-                async_std::task::sleep(STOP_POLL_INTERVAL).await;
-                elapsed += STOP_POLL_INTERVAL;
-            }
+            self.wait_until_answered(stop_at).await;
+            // The requests of the last connections may still be on their way, and the last
+            // answers have to leave the machine.
+            let begun = self.clients.begun();
             async_std::task::sleep(LINGER_DURATION).await;
-            elapsed += LINGER_DURATION;
-            // A request may have arrived while the last answers left.
-            if self.clients.in_flight() == 0 || elapsed >= max_duration {
+            let is_quiet = self.clients.begun() == begun;
+            if (is_quiet && self.clients.try_end()) || Instant::now() >= stop_at {
                 break;
             }
         }
@@ -430,6 +447,13 @@
             self.settings.name, self.clients.in_flight(),
         );
     }
+
+    /// Waits until no request is in flight, or until `stop_at`.
+    async fn wait_until_answered(&self, stop_at: Instant) {
+        while self.clients.in_flight() > 0 && Instant::now() < stop_at {
+            async_std::task::sleep(STOP_POLL_INTERVAL).await;
+        }
+    }
 }
 
 fn spawn_pages(
