Evacuate failure domains on the operators' order

The store's table of the sheet may hold rows evacuate/ZONE. Hosts must send no request to upstreams of such a domain once the bound evacuate_ms has passed.

A new crate, evac, keeps the orders by version, the phase of a domain and the pace of moves. The leader passes the orders on to all hosts with their age, and moves ranges out by release and grant, the busiest first. Message format 12.

--- a/crates/front/src/adapter.rs
+++ b/crates/front/src/adapter.rs
@@ -70,6 +70,9 @@
     pub retry_ratio: f64,
     /// Additional retries that all hosts together may send in each window.
     pub retry_extra: f64,
+    /// Time within which an evacuated failure domain must stop receiving requests;
+    /// orders to evacuate have no effect without it.
+    pub evacuate: Option<Duration>,
 }
 
 /// The bounds in force, which a reload replaces.
@@ -83,6 +86,7 @@
             longest_hold: Duration::from_secs(10),
             retry_ratio: 0.2,
             retry_extra: 100.0,
+            evacuate: None,
         }
     }
 }
@@ -189,6 +193,17 @@
     /// not exist.
     fn decode_entry(&self, id: &UpstreamId, bytes: &[u8]) -> Result<UpstreamEntry, DecodeError>;
 
+    /// Decodes the key of a row in the sheet's table that orders the evacuation of a
+    /// failure domain; returns `None` if the row is no such order.
+    fn decode_order_key(&self, key: &str) -> Option<Result<DomainName, DecodeError>>;
+
+    /// Checks the value of an order to evacuate a failure domain.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are not a valid order; the row is then ignored.
+    fn check_order(&self, bytes: &[u8]) -> Result<(), DecodeError>;
+
     /// Encodes a call that grants or releases keys; returns `None` for a probe, which
     /// sends no message.
     fn encode_call(&self, call: &GrantCall) -> Option<UpstreamCall>;
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -1,5 +1,7 @@
 //! Dispatch of client requests: resolve the route, select an upstream, send and retry.
 
+mod evacuation;
+
 use crate::adapter::SharedBounds;
 use crate::answer::UpstreamAnswer;
 use crate::budgets::RetryBudgets;
@@ -152,7 +154,7 @@
     /// Fails when there is no sheet yet, no route matches, or the request has no id.
     pub(crate) fn resolve(&self, request: ClientRequest) -> Result<ResolvedRequest, Refusal> {
         let view = self.state.view.load();
-        if view.sheet.is_none() {
+        if view.sheet.is_none() || !view.orders.is_known() {
             return Err(Refusal::new(Cause::NoConfiguration).with_retry_after(RETRY_AFTER));
         }
         let host = request.head.headers.get("host").unwrap_or_default();
@@ -425,6 +427,9 @@
             .get(&request.service)
             .and_then(|map| map.range_of(key));
         let first = range.map_or(0, |range| range.first);
+        if range.is_some_and(|range| self.state.is_holder_closed(now, range, view)) {
+            return self.state.refuse_evacuated(request);
+        }
         let Some(upstream) = range.and_then(|range| self.usable_holder(now, range, view)) else {
             let service = &request.service;
             let service_time = self.state.selector.lock().mean_service_time(service);
@@ -479,6 +484,7 @@
         };
         let mut candidates = Vec::with_capacity(ids.len());
         let mut tried = Vec::new();
+        let mut is_evacuated = false;
         for id in ids {
             let Some(upstream) = view.upstreams.get(id) else {
                 continue;
@@ -486,6 +492,11 @@
             if !upstream.accepts_requests(now) {
                 continue;
             }
+            let phase = self.state.domain_phase(now, view, &upstream.entry.domain);
+            if !phase.accepts_keyless() {
+                is_evacuated = true;
+                continue;
+            }
             let candidate = self.state.candidate(now, upstream);
             if history.tried_upstreams.contains(id) {
                 tried.push(candidate);
@@ -504,6 +515,9 @@
             }
             candidates = tried;
         }
+        if candidates.is_empty() && is_evacuated {
+            return self.state.refuse_evacuated(request);
+        }
         self.select_target(now, request, &candidates, view)
     }
 
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -1,7 +1,9 @@
 //! The leader: grants keys to upstreams while it holds the lease in the store.
 
+mod evacuation;
 mod lease;
 
+use self::evacuation::EvacuationLog;
 use crate::adapter::{FrontSettings, SharedBounds, UserPlatform};
 use crate::dispatch::Dispatcher;
 use crate::grant_client::GrantClient;
@@ -117,7 +119,8 @@
     /// When the current series of failed store writes began.
     store_failing_since: Option<Moment>,
     /// Versions of the entries and the sheet that were last announced to all hosts.
-    announced_versions: (u64, u64),
+    announced_versions: (u64, u64, u64),
+    evacuation_log: EvacuationLog,
 }
 
 impl LeaderLoop {
@@ -150,7 +153,8 @@
             yielded_term: None,
             leadership_changed_at: Moment::ZERO,
             store_failing_since: None,
-            announced_versions: (0, 0),
+            announced_versions: (0, 0, 0),
+            evacuation_log: EvacuationLog::default(),
             context,
         }
     }
@@ -236,6 +240,7 @@
         let term = self.row.as_ref().map_or(0, |row| row.term);
         if !is_leading {
             self.context.peers.set_leading(None, &[]);
+            self.evacuation_log.clear(&self.context.metrics);
         }
         info!(target: "lead", "leads={is_leading} term={term} row={}", self.row_version);
     }
@@ -277,7 +282,11 @@
     /// message says so in its next report.
     async fn announce_changes(&mut self) {
         let replica = &self.context.replica;
-        let versions = (replica.last_entry_version(), replica.sheet_version());
+        let versions = (
+            replica.last_entry_version(),
+            replica.sheet_version(),
+            replica.orders_version(),
+        );
         if versions == self.announced_versions {
             return;
         }
@@ -313,6 +322,14 @@
                 .entry(service.clone())
                 .or_insert_with(|| GrantLedger::new(self.timing, term));
             let step = ledger.step(now, &candidates, &loads);
+            let progress = ledger.evacuation_progress(now, &candidates);
+            self.evacuation_log.record(
+                now,
+                &service,
+                progress,
+                (&candidates, &loads),
+                &self.context.metrics,
+            );
             for call in step.calls {
                 calls.push((service.clone(), call));
             }
@@ -481,6 +498,7 @@
             let (min, max) = RELATIVE_SPEED_RANGE;
             let speed = (1.0 / slowness).clamp(min, max);
             let capacity = f64::from(known.entry.slots.max(1)) * speed;
+            let gives_up_by = dispatch.moves_end(&view, &known.entry.domain);
             candidates.push(OwnerCandidate {
                 holder: Holder {
                     upstream: id.clone(),
@@ -488,7 +506,8 @@
                 },
                 capacity,
                 max_rate: mean_service_time.map(|time| capacity / time.as_secs_f64().max(1e-6)),
-                accepts_keys: known.is_listed(),
+                accepts_keys: known.is_listed() && gives_up_by.is_none(),
+                gives_up_by,
             });
         }
         candidates
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -4,6 +4,7 @@
 //! `postcard` encoding. A message of owners names each upstream once, as repeated names
 //! would be most of its bytes.
 
+use crate::replica::WireOrders;
 use crate::wire_load::{WireLoad, WireObservation};
 use fleet::{EntryChange, ReportedState, UpstreamEntry};
 use grant::{PreviousTerm, WireOwners};
@@ -21,7 +22,7 @@
 pub(crate) const MAX_SHEET_BYTES: usize = MAX_DATAGRAM_BYTES - (8 << 10);
 /// First byte of every message. A message with another format comes from a host that
 /// runs another version of the program during an upgrade.
-const FORMAT: u8 = 11;
+const FORMAT: u8 = 12;
 
 /// A message that could not be encoded or decoded.
 #[derive(Debug)]
@@ -110,6 +111,19 @@
     pub entries: u64,
     /// Version of the sheet; 0 without one.
     pub sheet: u64,
+    /// Version of the orders to evacuate failure domains; 0 while they are unknown.
+    pub orders: u64,
+}
+
+impl KnownVersions {
+    /// Returns these versions with that of `known` for the orders to evacuate: they are
+    /// short and urgent, so they are sent even if the link has no room for the rest.
+    pub(crate) fn except_orders(&self, known: &Self) -> Self {
+        Self {
+            orders: known.orders,
+            ..self.clone()
+        }
+    }
 }
 
 /// The sheet in a message of the leader.
@@ -252,6 +266,8 @@
     pub standbys: Vec<String>,
     /// Addresses of all hosts, for a standby that may have to lead.
     pub host_addresses: Vec<SocketAddr>,
+    /// Orders to evacuate failure domains, if the receiver does not know them.
+    pub orders: Option<WireOrders>,
 }
 
 impl LeaderReply {
@@ -263,6 +279,7 @@
             owners: Vec::new(),
             fleet_loads: Vec::new(),
             host_addresses: Vec::new(),
+            orders: None,
             standbys: self.standbys.clone(),
             successor: self.successor.clone(),
             entries_base,
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -26,6 +26,12 @@
     pub is_leader: IntGauge,
     /// Version of the sheet in force.
     pub sheet_version: IntGauge,
+    /// Number of failure domains that are being or have been evacuated.
+    pub evacuated_domains: IntGauge,
+    /// Requests refused because only evacuated domains could run them, by rank.
+    pub evacuation_refusals: IntCounterVec,
+    /// Ranges in evacuated domains that this leader has still to move.
+    pub evacuation_ranges: IntGauge,
 }
 
 impl FrontMetrics {
@@ -49,6 +55,14 @@
             Opts::new("trestle_store_calls_total", "Calls to the platform's store"),
             &["call", "table"],
         )?;
+        let evacuation_refusals = IntCounterVec::new(
+            Opts::new(
+                "trestle_evacuation_refusals_total",
+                "Requests refused for evacuated domains",
+            ),
+            &["rank"],
+        )?;
+        registry.register(Box::new(evacuation_refusals.clone()))?;
         registry.register(Box::new(store_calls.clone()))?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
@@ -70,6 +84,12 @@
             store_failures: counter("trestle_store_failures_total", "Failed store calls")?,
             is_leader: gauge("trestle_is_leader", "1 while this host grants keys")?,
             sheet_version: gauge("trestle_sheet_version", "Version of the sheet in force")?,
+            evacuated_domains: gauge("trestle_evacuated_domains", "Domains under evacuation")?,
+            evacuation_refusals,
+            evacuation_ranges: gauge(
+                "trestle_evacuation_ranges",
+                "Ranges in evacuated domains still to be moved by this leader",
+            )?,
             registry,
         })
     }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -463,6 +463,7 @@
             host.known.owners.clone_from(&announced.owners);
             host.known.entries = host.known.entries.max(announced.entries);
             host.known.sheet = host.known.sheet.max(announced.sheet);
+            host.known.orders = host.known.orders.max(announced.orders);
         }
         for host_address in std::mem::take(&mut state.host_addresses) {
             if targets.iter().any(|(address, _)| *address == host_address) {
@@ -472,6 +473,8 @@
                 owners: Vec::new(),
                 entries: announced.entries,
                 sheet: announced.sheet,
+                // The new leader may know of an order that the last one did not announce.
+                orders: 0,
             };
             targets.push((host_address, known));
         }
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -1,5 +1,9 @@
 //! Local replica of the store's sheet, entries and owners.
 
+mod orders;
+
+pub(crate) use orders::WireOrders;
+
 use crate::adapter::UserPlatform;
 use crate::message::{MAX_SHEET_BYTES, OwnerUpdate, WireSheet};
 use crate::metrics::FrontMetrics;
@@ -110,7 +114,10 @@
 
     pub(crate) fn has_table(&self, table: FollowedTable) -> bool {
         match table {
-            FollowedTable::Sheet => self.view.load().sheet.is_some(),
+            FollowedTable::Sheet => {
+                let view = self.view.load();
+                view.sheet.is_some() && view.orders.is_known()
+            }
             FollowedTable::Entries => self.state.lock().has_entries,
         }
     }
@@ -118,7 +125,10 @@
     /// Applies the complete contents of a table.
     pub(crate) fn apply_table(&self, table: FollowedTable, page: &RowPage) {
         match table {
-            FollowedTable::Sheet => self.apply_sheet_rows(&page.rows),
+            FollowedTable::Sheet => {
+                self.apply_all_order_rows(page);
+                self.apply_sheet_rows(&page.rows);
+            }
             FollowedTable::Entries => self.apply_all_entries(page),
         }
     }
@@ -259,7 +269,10 @@
     /// Applies changed rows of a table.
     pub(crate) fn apply_changes(&self, table: FollowedTable, page: &RowPage) {
         match table {
-            FollowedTable::Sheet => self.apply_sheet_rows(&page.rows),
+            FollowedTable::Sheet => {
+                self.apply_changed_order_rows(page);
+                self.apply_sheet_rows(&page.rows);
+            }
             FollowedTable::Entries => {
                 self.apply_entry_changes(0, &self.decode_entry_changes(&page.rows));
                 let mut state = self.state.lock();
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -110,7 +110,7 @@
         let mut cached: Option<(KnownVersions, Vec<Vec<u8>>)> = None;
         for (address, mut known) in targets {
             if !self.has_send_room() {
-                known.clone_from(&announced);
+                known = announced.except_orders(&known);
             }
             let datagrams = match cached.take() {
                 Some((cached_known, datagrams)) if cached_known == known => datagrams,
@@ -129,6 +129,7 @@
             owners: self.replica.owner_versions(),
             entries: self.replica.last_entry_version(),
             sheet: self.replica.sheet_version(),
+            orders: self.replica.orders_version(),
         }
     }
 
@@ -168,6 +169,7 @@
             } else {
                 Vec::new()
             },
+            orders: self.replica.orders_since(known.orders),
         };
         let changes = self.replica.entry_changes_since(known.entries);
         let mut replies = vec![first];
@@ -241,6 +243,7 @@
                 owners: self.replica.owner_versions(),
                 entries: self.replica.entries_version(),
                 sheet: self.replica.sheet_version(),
+                orders: self.replica.orders_version(),
             },
         }
     }
@@ -307,7 +310,7 @@
                         let known = if self.has_send_room() {
                             report.known
                         } else {
-                            self.told_versions()
+                            self.told_versions().except_orders(&report.known)
                         };
                         let replies = self.replies(term, None, &known, is_for_standby, fleet_loads);
                         for bytes in encode_all(replies) {
@@ -319,6 +322,9 @@
                     if !self.peers.apply_reply(&reply, peer, &self.host) {
                         continue;
                     }
+                    if let Some(orders) = &reply.orders {
+                        self.replica.apply_orders(orders);
+                    }
                     self.apply_sheet(&reply);
                     self.apply_suspects(&reply.suspects);
                     self.dispatcher
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -1,6 +1,7 @@
 //! Immutable snapshot of sheet, upstreams and owners that requests are routed by.
 
 use arc_swap::ArcSwap;
+use evac::EvacOrders;
 use fleet::KnownUpstream;
 use grant::OwnerMap;
 use indexmap::IndexMap;
@@ -19,6 +20,8 @@
     pub upstream_hashes: Arc<IndexMap<u32, UpstreamId>>,
     pub by_service: Arc<IndexMap<ServiceName, Vec<UpstreamId>>>,
     pub owners: Arc<IndexMap<ServiceName, OwnerMap>>,
+    /// Orders to evacuate failure domains.
+    pub orders: Arc<EvacOrders>,
 }
 
 impl FrontView {
--- a/crates/grant/src/balance.rs
+++ b/crates/grant/src/balance.rs
@@ -11,7 +11,7 @@
 
 use crate::{Holder, KEY_COUNT, KeyLoads, OwnedRange, OwnerMap};
 use indexmap::IndexMap;
-use kernel::UpstreamId;
+use kernel::{Moment, UpstreamId};
 
 /// Ratio of load to fair share above which an upstream gives keys away; at a lower
 /// ratio moving keys costs more than it brings.
@@ -69,6 +69,9 @@
     pub max_rate: Option<f64>,
     /// Whether it may receive more keys; otherwise it only keeps those it has.
     pub accepts_keys: bool,
+    /// Time by which all its keys are to be moved elsewhere; `None` if it may keep them.
+    /// Until the turn of a range comes, its grant is renewed.
+    pub gives_up_by: Option<Moment>,
 }
 
 impl OwnerCandidate {
@@ -82,13 +85,14 @@
             capacity,
             max_rate: None,
             accepts_keys: true,
+            gives_up_by: None,
         }
     }
 }
 
 /// Fair and current shares of load of the candidates, as fractions of all load.
 #[derive(Debug)]
-struct ShareTable {
+pub(crate) struct ShareTable {
     rows: IndexMap<Holder, ShareRow>,
 }
 
@@ -102,7 +106,7 @@
 
 /// A key that needs most of an upstream, and the upstream that is to serve it.
 #[derive(Clone, Debug, PartialEq)]
-struct HotKey {
+pub(crate) struct HotKey {
     key: u16,
     share: f64,
     holder: Holder,
@@ -110,7 +114,7 @@
 
 impl ShareTable {
     /// Builds the table; the upstreams that serve hot keys have a fair share of zero.
-    fn new(
+    pub(crate) fn new(
         candidates: &[OwnerCandidate],
         map: &OwnerMap,
         loads: &KeyLoads,
@@ -311,7 +315,7 @@
         });
     }
     let mut table = ShareTable::new(candidates, map, loads, &[]);
-    let mut spare_ranges = max_ranges(candidates.len()).saturating_sub(map.ranges.len());
+    let mut spare_ranges = SpareRanges::new(candidates.len(), map.ranges.len());
     let mut ranges = Vec::with_capacity(map.ranges.len());
     let mut is_changed = false;
     for range in map.ranges.drain(..) {
@@ -324,7 +328,7 @@
         let max_pieces = if is_unassigned {
             candidates.len().min(MAX_RANGES)
         } else {
-            MAX_ORPHAN_PIECES.min(spare_ranges + 1)
+            spare_ranges.max_pieces()
         };
         let count_before = ranges.len();
         split_orphan(
@@ -335,7 +339,7 @@
             next_epoch,
             &mut ranges,
         );
-        spare_ranges = spare_ranges.saturating_sub(ranges.len() - count_before - 1);
+        spare_ranges.record_pieces(ranges.len() - count_before);
     }
     map.ranges = ranges;
     is_changed
@@ -356,6 +360,26 @@
     MAX_RANGES.min(upstreams * MAX_RANGES_PER_UPSTREAM + EXTRA_RANGES)
 }
 
+/// Number of ranges by which a map may still grow.
+#[derive(Debug)]
+pub(crate) struct SpareRanges(usize);
+
+impl SpareRanges {
+    pub(crate) fn new(upstreams: usize, ranges: usize) -> Self {
+        Self(max_ranges(upstreams).saturating_sub(ranges))
+    }
+
+    /// Returns the maximum number of pieces that the next range may be split into.
+    pub(crate) fn max_pieces(&self) -> usize {
+        MAX_ORPHAN_PIECES.min(self.0 + 1)
+    }
+
+    /// Records that a range was split into this many pieces.
+    pub(crate) fn record_pieces(&mut self, pieces: usize) {
+        self.0 = self.0.saturating_sub(pieces.saturating_sub(1));
+    }
+}
+
 /// Merges adjacent granted ranges of one owner; returns whether any were merged.
 ///
 /// A merged range gets a new epoch, under which its owner's grant is renewed.
@@ -396,7 +420,9 @@
     !merged_indexes.is_empty()
 }
 
-fn split_orphan(
+/// Assigns a range to the candidates with the most headroom, split if none has enough;
+/// adds the parts to `ranges`.
+pub(crate) fn split_orphan(
     range: &OwnedRange,
     max_pieces: usize,
     table: &mut ShareTable,
--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -3,7 +3,9 @@
 
 use crate::balance::{OwnerCandidate, assign_orphans, max_moves, merge_adjacent_ranges, rebalance};
 use crate::call_limit::CallLimit;
+use crate::evacuation::{EvacuatedHolders, move_ranges};
 use crate::{GrantTiming, Holder, KeyLoads, OwnedRange, OwnerMap, PreviousTerm};
+use evac::{MoveProgress, next_moves};
 use indexmap::{IndexMap, IndexSet};
 use kernel::Moment;
 use std::time::Duration;
@@ -447,11 +449,31 @@
         let known: IndexSet<&Holder> = candidates.iter().map(|known| &known.holder).collect();
         let is_valid = |holder: &Holder| known.contains(holder);
         is_changed |= assign_orphans(&mut planned, candidates, loads, &is_valid, &mut next_epoch);
+        let evacuated = EvacuatedHolders::find(candidates);
+        if let Some(evacuated) = &evacuated {
+            let progress = evacuated.progress(now, &planned);
+            let is_overdue = progress.time_left.is_zero();
+            let may_move = |range: &OwnedRange| {
+                evacuated.own(range)
+                    && (is_overdue || !has_unanswered_grant(&self.holders, range, now))
+            };
+            is_changed |= move_ranges(
+                &mut planned,
+                candidates,
+                loads,
+                next_moves(progress),
+                &may_move,
+                &mut next_epoch,
+            );
+        }
+        let is_evacuating = evacuated
+            .is_some_and(|evacuated| planned.ranges.iter().any(|range| evacuated.own(range)));
         // Keys of a silent upstream may wait for seconds, so others may move meanwhile,
         // up to half of the limit.
         let moving_ranges = planned.ranges.iter().filter(|range| !range.is_granted);
         let has_room = moving_ranges.count() <= max_moves(candidates.len()) / 2;
-        if has_room && now >= self.rebalanced_at + self.timing.rebalance_interval {
+        if has_room && !is_evacuating && now >= self.rebalanced_at + self.timing.rebalance_interval
+        {
             let is_moved = rebalance(&mut planned, candidates, loads, &mut next_epoch);
             if is_moved {
                 self.rebalanced_at = now;
@@ -471,6 +493,17 @@
         Some(planned)
     }
 
+    /// Returns the progress of the moves away from candidates that must give up their
+    /// keys; `None` if there are no such candidates.
+    pub fn evacuation_progress(
+        &self,
+        now: Moment,
+        candidates: &[OwnerCandidate],
+    ) -> Option<MoveProgress> {
+        let evacuated = EvacuatedHolders::find(candidates)?;
+        Some(evacuated.progress(now, &self.map))
+    }
+
     /// Removes previous grants of the owners that cannot be in force any more.
     fn clear_lapsed_holders(&self, now: Moment, planned: &mut OwnerMap) {
         let max_validity = self.timing.call_timeout
@@ -661,3 +694,14 @@
         call
     }
 }
+
+/// Returns whether a grant of the range's owner was not answered and may still take
+/// effect. A release would not help against it: the keys would be unserved until then.
+fn has_unanswered_grant(
+    holders: &IndexMap<Holder, HolderState>,
+    range: &OwnedRange,
+    now: Moment,
+) -> bool {
+    let state = range.owner.as_ref().and_then(|owner| holders.get(owner));
+    state.is_some_and(|state| state.unanswered_until > now)
+}
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod balance;
 mod call_limit;
+mod evacuation;
 mod lease;
 mod ledger;
 mod loads;
--- a/crates/kernel/src/verdict.rs
+++ b/crates/kernel/src/verdict.rs
@@ -109,6 +109,8 @@
     NoOwner => "no-owner", 503, NotRun, true;
     /// The shard's failure domain is unreachable.
     DomainUnreachable => "domain-unreachable", 503, NotRun, false;
+    /// The request can only run in a failure domain that the operators have evacuated.
+    DomainEvacuated => "domain-evacuated", 503, NotRun, false;
     /// No connection to the primary host could be made, so nothing was sent.
     PrimaryUnreachable => "primary-unreachable", 503, NotRun, true;
     /// The host that received the request is not the upstream's primary.
