--- a/crates/grant/src/balance.rs
+++ b/crates/grant/src/balance.rs
@@ -97,7 +97,7 @@
 }
 
 #[derive(Debug)]
-struct ShareRow {
+pub(crate) struct ShareRow {
     fair: f64,
     /// Share of the load that takes all of its capacity, if known.
     full: Option<f64>,
@@ -212,6 +212,11 @@
         self.target() - self.current
     }
 
+    /// Returns the share that it can take before it has to give keys away.
+    pub(crate) fn max_headroom(&self) -> f64 {
+        self.give_limit() - self.current
+    }
+
     /// Returns the current share divided by the one above which keys are given away.
     fn load_ratio(&self) -> f64 {
         self.current / self.give_limit().max(1e-6)
@@ -334,6 +339,7 @@
         split_orphan(
             &range,
             max_pieces,
+            ShareRow::headroom,
             &mut table,
             loads,
             next_epoch,
@@ -425,6 +431,7 @@
 pub(crate) fn split_orphan(
     range: &OwnedRange,
     max_pieces: usize,
+    headroom_of: fn(&ShareRow) -> f64,
     table: &mut ShareTable,
     loads: &KeyLoads,
     next_epoch: &mut dyn FnMut() -> u64,
@@ -436,7 +443,7 @@
         let Some((holder, row)) = table.most_headroom() else {
             return;
         };
-        let headroom = row.headroom();
+        let headroom = headroom_of(row);
         let holder = holder.clone();
         let prefix_last = if piece == max_pieces || headroom <= 0.0 {
             None
--- a/crates/grant/src/evacuation.rs
+++ b/crates/grant/src/evacuation.rs
@@ -1,6 +1,6 @@
 //! Moves of ranges away from candidates that must give up their keys.
 
-use crate::balance::{OwnerCandidate, ShareTable, SpareRanges, split_orphan};
+use crate::balance::{OwnerCandidate, ShareRow, ShareTable, SpareRanges, split_orphan};
 use crate::{Holder, KeyLoads, OwnedRange, OwnerMap};
 use evac::MoveProgress;
 use indexmap::{IndexMap, IndexSet};
@@ -34,21 +34,26 @@
         owner.is_some_and(|owner| self.holders.contains(owner))
     }
 
-    /// Returns whether the range has been taken from one of them but is not yet served
-    /// by its new owner.
-    fn are_giving_up(&self, range: &OwnedRange) -> bool {
-        let mut previous = range.previous_holders.iter();
-        !range.is_granted
-            && !self.own(range)
-            && previous.any(|(holder, _)| self.holders.contains(holder))
+    /// Returns the epoch under which one of them had a range that is not yet served by
+    /// its new owner. The parts of a range that was split have the same one.
+    fn given_up_epoch(&self, range: &OwnedRange) -> Option<u64> {
+        if range.is_granted || self.own(range) {
+            return None;
+        }
+        let mut previous = range.previous_holders.iter().rev();
+        let given_up = previous.find(|(holder, _)| self.holders.contains(holder));
+        given_up.map(|(_, epoch)| *epoch)
     }
 
     /// Returns the progress of the moves.
     pub(crate) fn progress(&self, now: Moment, map: &OwnerMap) -> MoveProgress {
         let ranges = map.ranges.iter();
+        let moving = ranges
+            .clone()
+            .filter_map(|range| self.given_up_epoch(range));
         MoveProgress {
-            remaining: ranges.clone().filter(|range| self.own(range)).count(),
-            moving: ranges.filter(|range| self.are_giving_up(range)).count(),
+            remaining: ranges.filter(|range| self.own(range)).count(),
+            moving: moving.collect::<IndexSet<u64>>().len(),
             time_left: self.time_left(now),
         }
     }
@@ -92,6 +97,9 @@
         split_orphan(
             &map.ranges[*index],
             spare_ranges.max_pieces(),
+            // Each part costs a release and a grant, so a range is only split if it
+            // would make its receiver give keys away.
+            ShareRow::max_headroom,
             &mut table,
             loads,
             next_epoch,
