Log the capacity that an evacuation leaves, by rank

When the evacuated domains change, the leader logs for each service what the upstreams elsewhere can do against the load of each rank. The load is estimated from the requests at the leader's own clients. Hosts follow the store themselves after 0.3 of the evacuation bound if that is less than 0.55 of the drain bound, and ranges of a domain that is closed already move without a pace.

--- a/crates/evac/src/lib.rs
+++ b/crates/evac/src/lib.rs
@@ -19,10 +19,12 @@
 //! assert_eq!(phase(4_000), DomainPhase::Closed);
 //! ```
 
+mod capacity;
 mod orders;
 mod pace;
 mod phase;
 
+pub use capacity::given_up;
 pub use orders::{EvacOrder, EvacOrders, OrderChange, OrderRow};
 pub use pace::{MoveProgress, next_moves};
 pub use phase::DomainPhase;
--- a/crates/evac/src/phase.rs
+++ b/crates/evac/src/phase.rs
@@ -37,8 +37,12 @@
 
 impl EvacOrder {
     /// Returns the time by which holders in the domain are to have given up their keys.
+    ///
+    /// If the order may be of any age, nobody uses the domain any more, so that spreading
+    /// the moves over time would only leave keys unserved for longer.
     pub fn moves_end(&self, bound: Duration) -> Moment {
-        self.ordered_at.unwrap_or(self.learned_at) + bound.mul_f64(MOVE_FRACTION)
+        let spread_end = |ordered_at| ordered_at + bound.mul_f64(MOVE_FRACTION);
+        self.ordered_at.map_or(self.learned_at, spread_end)
     }
 }
 
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -7,6 +7,7 @@
 use crate::budgets::RetryBudgets;
 use crate::exchange::Exchanger;
 use crate::metrics::FrontMetrics;
+use crate::rank_loads::RankLoads;
 use crate::request::{ClientRequest, ResolvedRequest};
 use crate::view::{FrontView, SharedView};
 use fleet::{KnownUpstream, Presence, UpstreamEntry};
@@ -63,6 +64,7 @@
     pub domain: DomainName,
     pub bounds: SharedBounds,
     pub metrics: FrontMetrics,
+    pub rank_loads: Mutex<RankLoads>,
 }
 
 impl DispatchState {
@@ -189,6 +191,7 @@
     ) -> Result<UpstreamAnswer, Refusal> {
         let mut history = AttemptHistory::default();
         self.record_key_load(request);
+        self.state.record_rank_load(request);
         let outcome = self
             .send_with_retries(request, &mut history, is_client_gone)
             .await;
--- a/crates/front/src/dispatch/evacuation.rs
+++ b/crates/front/src/dispatch/evacuation.rs
@@ -39,6 +39,12 @@
         })
     }
 
+    pub(super) fn record_rank_load(&self, request: &ResolvedRequest) {
+        let rank = request.route.rule().rank;
+        let mut rank_loads = self.rank_loads.lock();
+        rank_loads.record(self.clock.now(), &request.service, rank);
+    }
+
     /// Refuses a request that only an upstream in an evacuated domain could run.
     pub(super) fn refuse_evacuated(&self, request: &ResolvedRequest) -> DispatchTarget {
         let rank = request.route.rule().rank.to_string();
--- a/crates/front/src/follower.rs
+++ b/crates/front/src/follower.rs
@@ -33,6 +33,9 @@
 /// the store itself, so that it learns of a leaving upstream in time. A single lost reply
 /// takes less.
 const MAX_SILENCE_FRACTION: f64 = 0.55;
+/// Fraction of the bound on evacuations for which the leader may be silent at most. Once
+/// a host knows of an order, it uses holders of keys for 0.55 of the bound.
+const MAX_EVACUATION_SILENCE_FRACTION: f64 = 0.3;
 /// Time for which a leader that has lost the store may take to leave the lease to another
 /// host, before hosts follow the store themselves.
 const FEED_LOSS_GRACE: Duration = Duration::from_millis(600);
@@ -159,7 +162,11 @@
 
     /// Returns whether the leader tells this host of changes.
     fn is_told_by_leader(&self) -> bool {
-        let max_silence = self.bounds.load().drain.mul_f64(MAX_SILENCE_FRACTION);
+        let bounds = self.bounds.load();
+        let mut max_silence = bounds.drain.mul_f64(MAX_SILENCE_FRACTION);
+        if let Some(evacuate) = bounds.evacuate {
+            max_silence = max_silence.min(evacuate.mul_f64(MAX_EVACUATION_SILENCE_FRACTION));
+        }
         !self.is_store_reader() && self.peers.receives_changes(max_silence, FEED_LOSS_GRACE)
     }
 
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -227,6 +227,7 @@
                 domain: self.settings.domain.clone(),
                 bounds: Arc::clone(&self.bounds),
                 metrics: self.metrics.clone(),
+                rank_loads: Mutex::default(),
             }),
         }
     }
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -300,6 +300,7 @@
         let term = self.row.as_ref().map_or(0, |row| row.term);
         self.announce_feed_state(term).await;
         self.announce_changes().await;
+        self.log_capacities(now);
         if self.yield_lease(now).await {
             return;
         }
@@ -323,13 +324,8 @@
                 .or_insert_with(|| GrantLedger::new(self.timing, term));
             let step = ledger.step(now, &candidates, &loads);
             let progress = ledger.evacuation_progress(now, &candidates);
-            self.evacuation_log.record(
-                now,
-                &service,
-                progress,
-                (&candidates, &loads),
-                &self.context.metrics,
-            );
+            self.evacuation_log
+                .record(now, &service, progress, &self.context.metrics);
             for call in step.calls {
                 calls.push((service.clone(), call));
             }
--- a/crates/front/src/leader/evacuation.rs
+++ b/crates/front/src/leader/evacuation.rs
@@ -1,11 +1,13 @@
-//! Log and metrics of the moves out of evacuated failure domains.
+//! Log and metrics of evacuations: the moves of keys, and the capacity that is left.
 
+use super::LeaderLoop;
 use crate::metrics::FrontMetrics;
 use evac::MoveProgress;
-use grant::{KeyLoads, OwnerCandidate};
+use grant::OwnerCandidate;
 use indexmap::IndexMap;
-use kernel::{Moment, ServiceName};
-use log::{info, warn};
+use kernel::{DomainName, Moment, ServiceName};
+use log::{Level, info, log};
+use std::sync::Arc;
 
 /// Part of its capacity up to which an upstream can be used without waits growing long;
 /// the leader stops giving it keys there.
@@ -15,6 +17,8 @@
 #[derive(Debug, Default)]
 pub(super) struct EvacuationLog {
     services: IndexMap<ServiceName, ServiceMoves>,
+    /// The evacuated domains at the last log of the capacities.
+    domains: Vec<DomainName>,
 }
 
 /// Progress of the moves of one service when it was last logged.
@@ -32,7 +36,6 @@
         now: Moment,
         service: &ServiceName,
         progress: Option<MoveProgress>,
-        (candidates, loads): (&[OwnerCandidate], &KeyLoads),
         metrics: &FrontMetrics,
     ) {
         let Some(progress) = progress else {
@@ -73,7 +76,10 @@
                 moving,
             };
             self.services.insert(service.clone(), moves);
-            log_capacity(service, remaining, candidates, loads);
+            info!(
+                target: "evacuation",
+                "service={service} state=begun remaining={remaining} moving={moving}",
+            );
         }
         self.update_metrics(metrics);
     }
@@ -81,6 +87,7 @@
     /// Forgets all services, as another host leads.
     pub(super) fn clear(&mut self, metrics: &FrontMetrics) {
         self.services.clear();
+        self.domains.clear();
         self.update_metrics(metrics);
     }
 
@@ -93,33 +100,79 @@
     }
 }
 
-/// Logs the capacity of the upstreams elsewhere against the load on all keys.
-fn log_capacity(
-    service: &ServiceName,
-    ranges: usize,
-    candidates: &[OwnerCandidate],
-    loads: &KeyLoads,
-) {
-    let receivers = candidates.iter().filter(|known| known.accepts_keys);
-    let receiver_count = receivers.clone().count();
-    let capacity: Option<f64> = receivers.map(|known| known.max_rate).sum();
-    let usable = capacity.map(|rate| rate * USABLE_FRACTION);
-    let load = loads.rate();
-    let text = |rate: Option<f64>| rate.map_or("unknown".to_owned(), |rate| format!("{rate:.1}"));
-    info!(
-        target: "evacuation",
-        "service={service} state=begun ranges={ranges} receivers={receiver_count} \
-         usable_per_s={} load_per_s={}",
-        text(usable), text(load),
-    );
-    let missing = match (usable, load) {
-        _ if receiver_count == 0 => load,
-        (Some(usable), Some(load)) if load > usable => Some(load - usable),
-        _ => return,
-    };
-    warn!(
-        target: "evacuation",
-        "service={service} state=short receivers={receiver_count} missing_per_s={}",
-        text(missing),
-    );
+impl LeaderLoop {
+    /// Logs what each service can do without the evacuated domains, when these have
+    /// changed.
+    pub(super) fn log_capacities(&mut self, now: Moment) {
+        let dispatch = Arc::clone(&self.context.dispatcher.state);
+        let view = dispatch.view.load();
+        let domains: Vec<DomainName> = view.orders.iter().map(|(name, _)| name.clone()).collect();
+        let has_bound = dispatch.bounds.load().evacuate.is_some();
+        if !has_bound || domains == self.evacuation_log.domains {
+            return;
+        }
+        self.evacuation_log.domains = domains;
+        if view.orders.is_empty() {
+            return;
+        }
+        let services = view.sheet.iter().flat_map(|sheet| sheet.services.keys());
+        for service in services {
+            let candidates = self.candidates(now, service);
+            if candidates.iter().any(|known| known.gives_up_by.is_some()) {
+                self.log_capacity(now, service, &candidates);
+            }
+        }
+    }
+
+    /// Logs the capacity of a service's upstreams elsewhere against its load, by rank.
+    ///
+    /// The load is estimated from the requests that this host received, as the balancer
+    /// spreads them evenly.
+    fn log_capacity(&self, now: Moment, service: &ServiceName, candidates: &[OwnerCandidate]) {
+        let elsewhere = candidates
+            .iter()
+            .filter(|known| known.gives_up_by.is_none());
+        let upstreams = elsewhere.clone().count();
+        let capacity: Option<f64> = elsewhere.map(|known| known.max_rate).sum();
+        let host_count = self.context.peers.hosts().len().max(1) as f64;
+        let mut rank_loads = self.context.dispatcher.state.rank_loads.lock();
+        let mut loads = rank_loads.rates(now, service);
+        drop(rank_loads);
+        for (_, rate) in &mut loads {
+            *rate *= host_count;
+        }
+        let Some(capacity) = capacity else {
+            info!(
+                target: "evacuation",
+                "service={service} state=ordered upstreams_elsewhere={upstreams} \
+                 capacity_per_s=unknown load_per_s={}",
+                rank_rates(&loads),
+            );
+            return;
+        };
+        let usable = capacity * USABLE_FRACTION;
+        let missing = evac::given_up(usable, &loads);
+        let level = if missing.is_empty() {
+            Level::Info
+        } else {
+            Level::Warn
+        };
+        log!(
+            target: "evacuation",
+            level,
+            "service={service} state=ordered upstreams_elsewhere={upstreams} \
+             capacity_per_s={usable:.1} load_per_s={} given_up_per_s={}",
+            rank_rates(&loads), rank_rates(&missing),
+        );
+    }
+}
+
+/// Returns rates as `RANK:RATE,...`.
+fn rank_rates(rates: &[(u32, f64)]) -> String {
+    let texts = rates.iter().map(|(rank, rate)| format!("{rank}:{rate:.1}"));
+    let texts: Vec<String> = texts.collect();
+    if texts.is_empty() {
+        return "none".to_owned();
+    }
+    texts.join(",")
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -39,6 +39,7 @@
 mod peers;
 mod pool;
 mod random;
+mod rank_loads;
 mod replica;
 mod reports;
 mod request;
