--- a/crates/evac/src/orders.rs
+++ b/crates/evac/src/orders.rs
@@ -153,22 +153,18 @@
         let mut previous = std::mem::take(&mut self.orders);
         let mut changes = Vec::new();
         for (domain, told_at) in told {
-            let order = match previous.shift_remove(domain) {
-                Some(known) => EvacOrder {
-                    ordered_at: match (known.ordered_at, *told_at) {
-                        (Some(known_at), Some(told_at)) => Some(known_at.min(told_at)),
-                        (known_at, _) => known_at,
-                    },
-                    ..known
-                },
-                None => {
-                    changes.push(OrderChange::Ordered(domain.clone()));
-                    EvacOrder {
-                        ordered_at: *told_at,
-                        learned_at: now,
-                    }
-                }
+            let Some(mut order) = previous.shift_remove(domain) else {
+                changes.push(OrderChange::Ordered(domain.clone()));
+                let order = EvacOrder {
+                    ordered_at: *told_at,
+                    learned_at: now,
+                };
+                self.orders.insert(domain.clone(), order);
+                continue;
             };
+            if let (Some(known_at), Some(told_at)) = (order.ordered_at, *told_at) {
+                order.ordered_at = Some(known_at.min(told_at));
+            }
             self.orders.insert(domain.clone(), order);
         }
         changes.extend(previous.into_keys().map(OrderChange::Withdrawn));
--- a/crates/front/src/leader/evacuation.rs
+++ b/crates/front/src/leader/evacuation.rs
@@ -96,7 +96,8 @@
             .services
             .values()
             .map(|moves| moves.remaining + moves.moving);
-        metrics.evacuation_ranges.set(ranges.sum::<usize>() as i64);
+        let count = ranges.sum::<usize>() as u64;
+        metrics.evacuation_ranges.set(count.cast_signed());
     }
 }
 
--- a/crates/front/src/replica/orders.rs
+++ b/crates/front/src/replica/orders.rs
@@ -129,7 +129,10 @@
         for order_change in &changes {
             Self::log_order(now, source, order_change, &orders);
         }
-        self.metrics.evacuated_domains.set(orders.len() as i64);
+        let domain_count = orders.len() as u64;
+        self.metrics
+            .evacuated_domains
+            .set(domain_count.cast_signed());
         self.publish_orders(&state, orders);
     }
 
