--- a/crates/place/tests/fleet/mod.rs
+++ b/crates/place/tests/fleet/mod.rs
@@ -53,6 +53,8 @@
     pub refused: f64,
     /// Requests that an upstream rejected.
     pub rejected: f64,
+    /// Hash of all choices and refusals, in order.
+    pub choices: u64,
 }
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -88,6 +90,7 @@
     events: BinaryHeap<Reverse<(u64, Event)>>,
     counts: [u32; 4],
     counted: u32,
+    choices: u64,
 }
 
 pub fn play(shape: &Shape, policy: Policy, seed: u64) -> Outcome {
@@ -100,6 +103,7 @@
         late,
         refused,
         rejected,
+        choices: fleet.choices,
     }
 }
 
@@ -131,6 +135,7 @@
             events: BinaryHeap::new(),
             counts: [0; 4],
             counted: 0,
+            choices: 0,
             shape,
         }
     }
@@ -203,12 +208,14 @@
                         .position(|candidate| candidate.id == id)
                         .expect("known"),
                     Selection::Refuse { .. } | Selection::Unreachable { .. } => {
+                        self.choices = fold(self.choices, u64::MAX);
                         self.count(request, 2);
                         return;
                     }
                 }
             }
         };
+        self.choices = fold(self.choices, upstream as u64);
         let id = &self.candidates[upstream].id;
         let work = self.work.get();
         let sent = self.hosts[host].record_sent(now, work, id, self.shape.slots);
@@ -307,3 +314,8 @@
 fn to_moment(us: u64) -> Moment {
     Moment::from_millis(10_000) + Duration::from_micros(us)
 }
+
+/// Adds a number to a hash (FNV-1a).
+fn fold(hash: u64, number: u64) -> u64 {
+    (hash ^ number).wrapping_mul(0x100_0000_01b3)
+}
