Read the fourth figure of the load header, and keep speed and noise apart

LoadReport::parse takes the time that work takes at the moment, in percent. A measured service time is divided by the figure's expected mean over it before it enters the upstream's slowness and the means of routes.

--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -191,7 +191,7 @@
         head: ResponseHead,
         max_idle: u32,
     ) -> ExchangeResult {
-        let report = head.headers.get(self.names.load).and_then(parse_load);
+        let report = head.headers.get(self.names.load).and_then(LoadReport::parse);
         let remaining = request.deadline - self.clock.now();
         let reading = self.read_body(&mut connection, &head);
         let mut is_reusable = head.keeps_alive;
@@ -256,13 +256,3 @@
         }
     }
 }
-
-/// Parses the load header: "running, waiting, slots".
-fn parse_load(text: &str) -> Option<LoadReport> {
-    let mut numbers = text.split(',').map(|part| part.trim().parse().ok());
-    Some(LoadReport {
-        running: numbers.next()??,
-        waiting: numbers.next()??,
-        slots: numbers.next()??,
-    })
-}
--- a/crates/place/src/estimate.rs
+++ b/crates/place/src/estimate.rs
@@ -87,15 +87,17 @@
         let excess_occupancy = (occupancy + 1.0 - slots).max(0.0);
         // Before anything is measured the times are zero, so that only occupancy counts.
         let unit_ms = work.unit_ms.unwrap_or_default();
+        // A momentary factor is in force for a part of a long time only.
+        let paced_ms = |usual_ms: f64| usual_ms * state.pace_factor(now, usual_ms);
         Self {
-            service: work.route_ms.unwrap_or_default() * slowness,
-            wait: excess_occupancy / slots * unit_ms * slowness,
+            service: paced_ms(work.route_ms.unwrap_or_default() * slowness),
+            wait: paced_ms(excess_occupancy / slots * unit_ms * slowness),
             full: if state.own_requests() >= candidate.max_requests {
                 (unit_ms * slowness / slots).max(1.0)
             } else {
                 to_ms(state.full_remaining(now))
             },
-            backlog: (occupancy + 1.0) / slots * work.unit_ms.unwrap_or(1.0) * slowness,
+            backlog: paced_ms((occupancy + 1.0) / slots * work.unit_ms.unwrap_or(1.0) * slowness),
         }
     }
 
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -28,12 +28,14 @@
 mod estimate;
 mod fleet_loads;
 mod moves;
+mod pace;
 mod selector;
 mod state;
 mod work;
 
 pub use fleet_loads::FleetLoads;
 pub use moves::MoveTracker;
+pub use pace::MomentaryPace;
 pub use selector::{Selection, SelectionLimits, SentRequest, UpstreamCandidate, UpstreamSelector};
 pub use state::{FleetLoad, LoadReport, ObservedLoad, RequestOutcome};
 pub use work::RequestWork;
--- a/crates/place/src/selector.rs
+++ b/crates/place/src/selector.rs
@@ -7,6 +7,7 @@
 //! its answer corrects it.
 
 use crate::estimate::{Judgment, LoadEstimate, Ranking, to_ms};
+use crate::pace::MomentaryPace;
 use crate::state::{
     FleetLoad, LoadReport, MeanWork, ObservedLoad, RequestOutcome, SentState, UpstreamState,
 };
@@ -148,6 +149,22 @@
             .set_fleet_load(now, fleet_load);
     }
 
+    /// Records a momentary factor of an upstream that another host was told.
+    pub fn record_pace(&mut self, id: &UpstreamId, pace: MomentaryPace) {
+        self.upstreams
+            .entry(id.clone())
+            .or_default()
+            .record_pace(pace);
+    }
+
+    /// Returns the momentary factors that upstreams reported to this host since the last
+    /// call.
+    pub fn drain_paces(&mut self) -> Vec<(UpstreamId, MomentaryPace)> {
+        let upstreams = self.upstreams.iter_mut();
+        let paces = upstreams.filter_map(|(id, state)| Some((id.clone(), state.drain_pace()?)));
+        paces.collect()
+    }
+
     /// Selects the upstream for a request.
     pub fn choose(
         &mut self,
@@ -243,7 +260,8 @@
             // Weighted sampling without replacement: the smallest of exponential
             // variables whose rates are the weights.
             let slowness = state.slowness(now, work.unit_ms, candidate.is_cold);
-            let rate = f64::from(candidate.slots.max(1)) / (slowness * state.avoidance());
+            let pace = state.pace_factor(now, work.unit_ms.unwrap_or_default() * slowness);
+            let rate = f64::from(candidate.slots.max(1)) / (slowness * pace * state.avoidance());
             drawn.push((-self.rng.f64().ln() / rate, index));
         }
         drawn.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -342,9 +360,9 @@
         let Some(state) = self.upstreams.get_mut(&request.id) else {
             return;
         };
-        let service_ms = state.record_outcome(now, outcome, request.sent, report, mean_work);
-        if let Some(service_ms) = service_ms {
-            self.work_times.record(now, work, service_ms);
+        let sample = state.record_outcome(now, outcome, request.sent, report, mean_work);
+        if let Some(sample) = sample {
+            self.work_times.record(now, work, sample);
         }
         if let Some(report) = report {
             let ratio = report.occupancy() / f64::from(report.slots.max(1));
--- a/crates/place/src/state.rs
+++ b/crates/place/src/state.rs
@@ -1,5 +1,6 @@
 //! Load of one upstream as a host knows it.
 
+use crate::pace::MomentaryPace;
 use crate::work::age_in_units;
 use kernel::Moment;
 use std::time::Duration;
@@ -28,6 +29,12 @@
 /// Range to which the slowness of one request is clamped; requests that are unusual
 /// differ by more.
 const SLOWNESS_RANGE: (f64, f64) = (0.1, 20.0);
+/// Weight of a service time whose momentary factor is unknown, at an upstream that
+/// otherwise reports it.
+const UNKNOWN_PACE_WEIGHT: f64 = 0.25;
+/// Range of the reported time that work takes, in percent. Noise of three times on top of
+/// a machine that is three times slower stays within it.
+const WORK_PERCENT_RANGE: (f64, f64) = (5.0, 2_000.0);
 /// Weight of a new outcome in the failure rate.
 const FAILURE_WEIGHT: f64 = 0.15;
 /// First backoff after a failed connection; doubles with each further failure.
@@ -57,9 +64,35 @@
     pub waiting: u32,
     /// Number of slots.
     pub slots: u32,
+    /// Time that work takes on the machine at this moment, in percent of the usual time,
+    /// if the upstream reports it.
+    pub work_percent: Option<u32>,
 }
 
 impl LoadReport {
+    /// Parses the load header: "running,waiting,slots" or "running,waiting,slots,percent".
+    ///
+    /// Returns `None` unless the first three figures are valid. A fourth that is not a
+    /// number or out of range is ignored, as are further ones.
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut parts = text.split(',').map(str::trim);
+        let mut next_count = || parts.next()?.parse().ok();
+        Some(Self {
+            running: next_count()?,
+            waiting: next_count()?,
+            slots: next_count()?,
+            work_percent: parts.next().and_then(parse_work_percent),
+        })
+    }
+
+    fn pace(&self, now: Moment) -> Option<MomentaryPace> {
+        let percent = self.work_percent?;
+        Some(MomentaryPace {
+            factor: f64::from(percent) / 100.0,
+            reported_at: now,
+        })
+    }
+
     /// Returns the number of requests that are running or waiting.
     pub(crate) fn occupancy(&self) -> f64 {
         f64::from(self.running) + f64::from(self.waiting)
@@ -81,6 +114,8 @@
     pub slowness: Option<f64>,
     /// Mean of the occupancies that the upstream reported, as fractions of its slots.
     pub occupancy_ratio: Option<f64>,
+    /// Mean of the momentary factors that the upstream reported, if it reports any.
+    pub pace_factor: Option<f64>,
 }
 
 /// Load of an upstream as all hosts together observed it.
@@ -139,6 +174,12 @@
     next_probe_at: Moment,
     observed: ObservedSums,
     fleet_load: Option<(Moment, FleetLoad)>,
+    /// The momentary factor, as last reported to this or another host.
+    pace: Option<MomentaryPace>,
+    /// Whether the upstream has reported a momentary factor to this host.
+    reports_pace: bool,
+    /// Whether `pace` was reported to this host since the last call of `drain_pace`.
+    is_pace_new: bool,
 }
 
 /// Sums of observations since the last report.
@@ -147,10 +188,13 @@
     requests: u32,
     answered: u32,
     refused: u32,
-    measured: u32,
+    /// Sum of the weights of the measurements in `slowness`.
+    measured: f64,
     slowness: f64,
     reports: u32,
     occupancy_ratio: f64,
+    pace_reports: u32,
+    pace_factor: f64,
 }
 
 impl Default for UpstreamState {
@@ -171,6 +215,9 @@
             next_probe_at: Moment::ZERO,
             observed: ObservedSums::default(),
             fleet_load: None,
+            pace: None,
+            reports_pace: false,
+            is_pace_new: false,
         }
     }
 }
@@ -195,7 +242,8 @@
             answered: observed.answered,
             refused: observed.refused,
             slowness: mean(observed.slowness, observed.measured),
-            occupancy_ratio: mean(observed.occupancy_ratio, observed.reports),
+            occupancy_ratio: mean(observed.occupancy_ratio, f64::from(observed.reports)),
+            pace_factor: mean(observed.pace_factor, f64::from(observed.pace_reports)),
         })
     }
 
@@ -295,6 +343,31 @@
         mean * if is_cold { COLD_FACTOR } else { 1.0 }
     }
 
+    /// Returns the factor by which work of `duration_ms` that starts now is expected to
+    /// take longer than usual at this upstream; 1 if nothing was reported lately.
+    pub(crate) fn pace_factor(&self, now: Moment, duration_ms: f64) -> f64 {
+        self.pace
+            .map_or(1.0, |pace| pace.expected_factor(now, duration_ms))
+    }
+
+    /// Records a momentary factor, unless a later one is known.
+    pub(crate) fn record_pace(&mut self, pace: MomentaryPace) {
+        if self
+            .pace
+            .is_none_or(|known| known.reported_at < pace.reported_at)
+        {
+            self.pace = Some(pace);
+            self.is_pace_new = false;
+        }
+    }
+
+    /// Returns the momentary factor if it was reported to this host since the last call.
+    pub(crate) fn drain_pace(&mut self) -> Option<MomentaryPace> {
+        std::mem::take(&mut self.is_pace_new)
+            .then_some(self.pace)
+            .flatten()
+    }
+
     /// Returns the number of own measurements that the slowness counts for now.
     fn current_samples(&self, now: Moment, unit_ms: Option<f64>) -> f64 {
         let age = age_in_units(now, self.measured_at, unit_ms);
@@ -307,7 +380,7 @@
         1.0 + FAILURE_FACTOR * self.failure_rate
     }
 
-    /// Records how a request ended; returns its service time in milliseconds if it was
+    /// Records how a request ended; returns its service time if it was
     /// answered.
     pub(crate) fn record_outcome(
         &mut self,
@@ -316,7 +389,7 @@
         sent: SentState,
         report: Option<LoadReport>,
         work: MeanWork,
-    ) -> Option<f64> {
+    ) -> Option<ServiceSample> {
         self.own_requests = self.own_requests.saturating_sub(1);
         self.observed.requests += 1;
         if let Some(report) = report {
@@ -329,6 +402,13 @@
             self.other_requests =
                 expected_others * (1.0 - REPORT_WEIGHT) + other_requests * REPORT_WEIGHT;
             self.reported_at = now;
+            if let Some(pace) = report.pace(now) {
+                self.pace = Some(pace);
+                self.reports_pace = true;
+                self.is_pace_new = true;
+                self.observed.pace_reports += 1;
+                self.observed.pace_factor += pace.factor;
+            }
         }
         match outcome {
             RequestOutcome::Answered => {
@@ -366,7 +446,11 @@
         self.record_reachable();
     }
 
-    /// Records a service time and returns it, if the answer tells it.
+    /// Records a service time, and returns it as it would usually have been, if the
+    /// answer tells it.
+    ///
+    /// It is divided by the momentary factor that the answer reports, so that the
+    /// slowness is that of the upstream itself.
     ///
     /// The service time is the latency without the wait for a slot. If requests were
     /// waiting, it lies between the latency and the part of it that is left after the
@@ -378,34 +462,50 @@
         sent: SentState,
         report: Option<LoadReport>,
         work: MeanWork,
-    ) -> Option<f64> {
+    ) -> Option<ServiceSample> {
         let latency_ms = (now - sent.sent_at).as_secs_f64() * 1_000.0;
         let reported = report.map_or(0.0, |report| report.occupancy());
         let occupancy = sent.occupancy.max(reported);
         let occupancy_ratio = ((occupancy + 1.0) / f64::from(sent.slots.max(1))).max(1.0);
         let shortest_ms = latency_ms / occupancy_ratio;
+        let pace = report.and_then(|report| report.pace(now));
+        let pace_factor = pace.map_or(1.0, |pace| pace.past_factor(shortest_ms));
+        let weight = if pace.is_none() && self.reports_pace {
+            UNKNOWN_PACE_WEIGHT
+        } else {
+            1.0
+        };
         let expected_ms = match work.route_ms {
-            Some(route_ms) => route_ms * self.slowness(now, work.unit_ms, false),
+            Some(route_ms) => route_ms * self.slowness(now, work.unit_ms, false) * pace_factor,
             None => shortest_ms,
         };
         let is_exact = occupancy_ratio <= 1.0 || work.route_ms.is_none();
         if !is_exact && (shortest_ms..latency_ms).contains(&expected_ms) {
             return None;
         }
-        let service_ms = expected_ms.clamp(shortest_ms, latency_ms);
+        let service_ms = expected_ms.clamp(shortest_ms, latency_ms) / pace_factor;
         let route_ms = work.route_ms.unwrap_or(service_ms);
         let (min, max) = SLOWNESS_RANGE;
         let slowness = (service_ms / route_ms.max(f64::MIN_POSITIVE)).clamp(min, max);
-        self.observed.measured += 1;
-        self.observed.slowness += slowness;
-        let samples = self.current_samples(now, work.unit_ms) + 1.0;
+        self.observed.measured += weight;
+        self.observed.slowness += slowness * weight;
+        let samples = self.current_samples(now, work.unit_ms) + weight;
         self.slowness_samples = samples.min(MAX_SLOWNESS_SAMPLES);
-        self.slowness += (slowness - self.slowness) / self.slowness_samples;
+        self.slowness += (slowness - self.slowness) * weight / self.slowness_samples;
         self.measured_at = now;
-        Some(service_ms)
+        Some(ServiceSample { service_ms, weight })
     }
 }
 
+/// A measured service time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServiceSample {
+    /// Time that the work would have taken at the machine's usual pace.
+    pub service_ms: f64,
+    /// Weight in means; lower than 1 if the pace is unknown.
+    pub weight: f64,
+}
+
 /// Means over all upstreams of a service, as far as measured; times in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct MeanWork {
@@ -425,6 +525,16 @@
     pub slots: u32,
 }
 
-fn mean(sum: f64, count: u32) -> Option<f64> {
-    (count > 0).then(|| sum / f64::from(count))
+fn mean(sum: f64, weight: f64) -> Option<f64> {
+    (weight > 0.0).then(|| sum / weight)
+}
+
+/// Parses the time that work takes, in percent.
+fn parse_work_percent(text: &str) -> Option<u32> {
+    let percent: f64 = text.parse().ok()?;
+    let (min, max) = WORK_PERCENT_RANGE;
+    // A number that is not one is in no range.
+    (min..=max)
+        .contains(&percent)
+        .then(|| percent.round() as u32)
 }
--- a/crates/place/src/work.rs
+++ b/crates/place/src/work.rs
@@ -4,6 +4,7 @@
 //! magnitude, and services by more. Service times are therefore measured for each route,
 //! and nothing is assumed about a route before its first answer.
 
+use crate::state::ServiceSample;
 use indexmap::IndexMap;
 use kernel::{Moment, ServiceName};
 
@@ -39,11 +40,14 @@
 }
 
 impl RunningMean {
-    fn record(&mut self, now: Moment, sample: f64) {
+    fn record(&mut self, now: Moment, sample: ServiceSample) {
         self.measured_at = now;
         self.count = self.count.saturating_add(1);
-        let weight = (1.0 / f64::from(self.count)).max(MEAN_WEIGHT);
-        self.value += weight * (sample - self.value);
+        let mut weight = (1.0 / f64::from(self.count)).max(MEAN_WEIGHT);
+        if self.count > 1 {
+            weight *= sample.weight;
+        }
+        self.value += weight * (sample.service_ms - self.value);
     }
 
     fn value(self) -> Option<f64> {
@@ -69,18 +73,18 @@
 
 impl WorkTimes {
     /// Records the service time of a request.
-    pub(crate) fn record(&mut self, now: Moment, work: RequestWork<'_>, service_ms: f64) {
+    pub(crate) fn record(&mut self, now: Moment, work: RequestWork<'_>, sample: ServiceSample) {
         let service = self.service_mut(work.service);
-        service.mean.record(now, service_ms);
+        service.mean.record(now, sample);
         if let Some(mean) = service.routes.get_mut(work.route) {
-            mean.record(now, service_ms);
+            mean.record(now, sample);
             return;
         }
         if service.routes.len() >= MAX_ROUTES {
             service.routes.shift_remove_index(0);
         }
         let mut mean = RunningMean::default();
-        mean.record(now, service_ms);
+        mean.record(now, sample);
         service.routes.insert(work.route.to_owned(), mean);
     }
 
--- a/crates/place/tests/choice.rs
+++ b/crates/place/tests/choice.rs
@@ -79,6 +79,7 @@
                 running: remaining.min(SLOTS),
                 waiting: remaining.saturating_sub(SLOTS),
                 slots: SLOTS,
+                work_percent: None,
             };
             selector.record_outcome(
                 Moment::from_millis(ends_at),
@@ -290,6 +291,7 @@
             running: 0,
             waiting: 0,
             slots: SLOTS,
+            work_percent: None,
         };
         let report = if index == 0 { report } else { idle };
         let outcome = RequestOutcome::Answered;
@@ -314,6 +316,7 @@
         running: u32::MAX,
         waiting: 1,
         slots: SLOTS,
+        work_percent: None,
     };
     let choices = choose_after_report(5, report);
     let other = |choice: &Option<String>| choice.as_deref().is_some_and(|id| id != "i-0");
--- a/crates/place/tests/estimates.rs
+++ b/crates/place/tests/estimates.rs
@@ -101,6 +101,7 @@
             running: if waiting > 0 { slots } else { 0 },
             waiting,
             slots,
+            work_percent: None,
         };
         self.selector.record_outcome(
             self.now,
--- a/crates/place/tests/fleet/mod.rs
+++ b/crates/place/tests/fleet/mod.rs
@@ -2,9 +2,9 @@
 //! the loads that answers report.
 
 use crate::common::Work;
-use kernel::Moment;
+use kernel::{Moment, UpstreamId};
 use place::{
-    FleetLoads, LoadReport, RequestOutcome, Selection, SelectionLimits, SentRequest,
+    FleetLoads, LoadReport, MomentaryPace, RequestOutcome, Selection, SelectionLimits, SentRequest,
     UpstreamCandidate, UpstreamSelector,
 };
 use std::cmp::Reverse;
@@ -13,6 +13,8 @@
 
 /// Interval at which hosts report what they observed and learn what all observed.
 const REPORT_INTERVAL_US: u64 = 700_000;
+/// Time for which a momentary factor is in force.
+const NOISE_PERIOD_US: u64 = 400_000;
 /// Time before which nothing is counted, in microseconds.
 const WARM_UP_US: u64 = 8_000_000;
 
@@ -43,6 +45,21 @@
     /// Offered work as a fraction of the capacity of all slots.
     pub load: f64,
     pub seconds: u64,
+    pub noise: Noise,
+}
+
+/// Noise of upstreams that share their machines: every 400 ms, another fifth of them
+/// becomes slower or faster.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Noise {
+    /// Factor by which they do; none below 1.
+    pub factor: f64,
+    /// Whether answers report the momentary factor.
+    pub is_reported: bool,
+    /// Mean age at which other hosts learn of a reported factor, if they do.
+    pub passed_on_after_ms: Option<u64>,
+    /// Seconds in which hosts learn nothing from one another.
+    pub silence: (u64, u64),
 }
 
 /// What became of the requests, as fractions of all.
@@ -62,6 +79,8 @@
     Arrival,
     Completion { upstream: usize, request: usize },
     Report,
+    CollectPaces,
+    TellPaces,
 }
 
 struct Upstream {
@@ -91,6 +110,7 @@
     counts: [u32; 4],
     counted: u32,
     choices: u64,
+    paces: Vec<(UpstreamId, MomentaryPace)>,
 }
 
 pub fn play(shape: &Shape, policy: Policy, seed: u64) -> Outcome {
@@ -136,6 +156,7 @@
             counts: [0; 4],
             counted: 0,
             choices: 0,
+            paces: Vec::new(),
             shape,
         }
     }
@@ -145,11 +166,16 @@
         self.events.push(Reverse((0, Event::Arrival)));
         self.events
             .push(Reverse((REPORT_INTERVAL_US, Event::Report)));
+        if self.shape.noise.passed_on_after_ms.is_some() {
+            self.events.push(Reverse((0, Event::CollectPaces)));
+        }
         while let Some(Reverse((now_us, event))) = self.events.pop() {
             match event {
                 Event::Arrival if now_us < ends_us => self.arrive(now_us),
                 Event::Report if now_us < ends_us => self.report(now_us),
-                Event::Arrival | Event::Report => {}
+                Event::CollectPaces if now_us < ends_us => self.collect_paces(now_us),
+                Event::TellPaces => self.tell_paces(now_us),
+                Event::Arrival | Event::Report | Event::CollectPaces => {}
                 Event::Completion { upstream, request } => {
                     self.complete(now_us, upstream, request);
                 }
@@ -193,7 +219,7 @@
         let host = self.requests[request].host;
         let upstream = match self.policy {
             Policy::Random => self.rng.usize(..self.upstreams.len()),
-            Policy::Oracle => self.first_free(),
+            Policy::Oracle => self.first_free(now_us),
             Policy::Selector => {
                 let limits = SelectionLimits {
                     target_left: Duration::from_secs_f64(self.shape.target_ms * 0.9e-3),
@@ -231,13 +257,14 @@
         }
     }
 
-    fn first_free(&self) -> usize {
+    fn first_free(&self, now_us: u64) -> usize {
         let wait = |index: &usize| {
             let upstream = &self.upstreams[*index];
             let ahead = f64::from(upstream.running) + upstream.queue.len() as f64 + 1.0;
             let slots = f64::from(self.shape.slots);
             let excess = (ahead - slots).max(0.0) / slots;
-            (upstream.slowness * (1.0 + excess) * 1e6 + ahead) as u64
+            let slowness = upstream.slowness * self.noise_factor(now_us, *index);
+            (slowness * (1.0 + excess) * 1e6 + ahead) as u64
         };
         let indexes = 0..self.upstreams.len();
         indexes.min_by_key(wait).expect("there are upstreams")
@@ -246,12 +273,69 @@
     fn start(&mut self, now_us: u64, upstream: usize, request: usize) {
         let state = &mut self.upstreams[upstream];
         state.running += 1;
-        let duration = self.requests[request].work_us as f64 * state.slowness;
-        let ends_us = now_us + duration as u64;
+        let work_us = self.requests[request].work_us as f64 * state.slowness;
+        let ends_us = self.end_us(now_us, upstream, work_us);
         self.events
             .push(Reverse((ends_us, Event::Completion { upstream, request })));
     }
 
+    /// Returns when work that takes `work_us` without noise ends.
+    fn end_us(&self, start_us: u64, upstream: usize, mut work_us: f64) -> u64 {
+        let mut now_us = start_us;
+        loop {
+            let factor = self.noise_factor(now_us, upstream);
+            let period_end_us = (now_us / NOISE_PERIOD_US + 1) * NOISE_PERIOD_US;
+            let done_us = (period_end_us - now_us) as f64 / factor;
+            if done_us >= work_us {
+                return now_us + (work_us * factor) as u64;
+            }
+            work_us -= done_us;
+            now_us = period_end_us;
+        }
+    }
+
+    /// Returns the factor by which work at an upstream takes longer than usual.
+    fn noise_factor(&self, now_us: u64, upstream: usize) -> f64 {
+        let Noise { factor, .. } = self.shape.noise;
+        if factor <= 1.0 {
+            return 1.0;
+        }
+        let period = now_us / NOISE_PERIOD_US;
+        match fastrand::Rng::with_seed(period * 10_007 + upstream as u64).u32(..10) {
+            0 => factor,
+            1 => 1.0 / factor,
+            _ => 1.0,
+        }
+    }
+
+    fn is_silent(&self, now_us: u64) -> bool {
+        let (from, to) = self.shape.noise.silence;
+        (from * 1_000_000..to * 1_000_000).contains(&now_us)
+    }
+
+    fn collect_paces(&mut self, now_us: u64) {
+        for host in &mut self.hosts {
+            self.paces.extend(host.drain_paces());
+        }
+        let age_us = self.shape.noise.passed_on_after_ms.unwrap_or_default() * 1_000;
+        self.events
+            .push(Reverse((now_us + age_us / 2, Event::TellPaces)));
+        self.events
+            .push(Reverse((now_us + age_us, Event::CollectPaces)));
+    }
+
+    fn tell_paces(&mut self, now_us: u64) {
+        let paces = std::mem::take(&mut self.paces);
+        if self.is_silent(now_us) {
+            return;
+        }
+        for host in &mut self.hosts {
+            for (id, pace) in &paces {
+                host.record_pace(id, *pace);
+            }
+        }
+    }
+
     fn complete(&mut self, now_us: u64, upstream: usize, request: usize) {
         self.upstreams[upstream].running -= 1;
         if let Some(next) = self.upstreams[upstream].queue.pop_front() {
@@ -271,10 +355,14 @@
         outcome: RequestOutcome,
     ) {
         let state = &self.upstreams[upstream];
+        let noise = self.shape.noise;
         let report = LoadReport {
             running: state.running,
             waiting: state.queue.len() as u32,
             slots: self.shape.slots,
+            work_percent: noise
+                .is_reported
+                .then(|| (self.noise_factor(now_us, upstream) * 100.0).round() as u32),
         };
         let Request { host, sent, .. } = &self.requests[request];
         let sent = sent.as_ref().expect("was sent");
@@ -288,6 +376,11 @@
     }
 
     fn report(&mut self, now_us: u64) {
+        let next_us = now_us + REPORT_INTERVAL_US;
+        self.events.push(Reverse((next_us, Event::Report)));
+        if self.is_silent(now_us) {
+            return;
+        }
         let now = to_moment(now_us);
         for host in &mut self.hosts {
             for (id, observed) in host.drain_observations() {
@@ -300,8 +393,6 @@
                 host.set_fleet_load(now, id, *load);
             }
         }
-        let next_us = now_us + REPORT_INTERVAL_US;
-        self.events.push(Reverse((next_us, Event::Report)));
     }
 
     fn count(&mut self, request: usize, kind: usize) {
--- a/crates/place/tests/fleet_choice.rs
+++ b/crates/place/tests/fleet_choice.rs
@@ -3,9 +3,10 @@
 
 #[allow(dead_code, reason = "other tests use more of it")]
 mod common;
+#[allow(dead_code, reason = "other tests use more of it")]
 mod fleet;
 
-use fleet::{Policy, Shape, play};
+use fleet::{Noise, Policy, Shape, play};
 use rstest::rstest;
 
 /// 18 hosts and 6 upstreams: each host sees a good part of the load.
@@ -21,6 +22,7 @@
         target_ms: 1_000.0,
         load: 0.8,
         seconds: 20,
+        noise: Noise::default(),
     }
 }
 
