Learn from reports what a holder of keys can do apart from momentary noise

FleetLoads averages the slowness of upstreams that report their momentary factor over 48 requests, and takes them to be able to do less while their queue is long.

--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -191,7 +191,10 @@
         head: ResponseHead,
         max_idle: u32,
     ) -> ExchangeResult {
-        let report = head.headers.get(self.names.load).and_then(LoadReport::parse);
+        let report = head
+            .headers
+            .get(self.names.load)
+            .and_then(LoadReport::parse);
         let remaining = request.deadline - self.clock.now();
         let reading = self.read_body(&mut connection, &head);
         let mut is_reusable = head.keeps_alive;
--- a/crates/place/src/fleet_loads.rs
+++ b/crates/place/src/fleet_loads.rs
@@ -16,6 +16,22 @@
 
 /// Number of requests after which older ones count half in the slowness.
 const SLOWNESS_HALF_LIFE_REQUESTS: f64 = 12.0;
+/// The same for the slowness by which keys are placed, of upstreams whose momentary noise
+/// is known. Service times of one route differ by as much as their mean; after fewer
+/// requests keys would move for mere chance.
+const PERSISTENT_HALF_LIFE_REQUESTS: f64 = 48.0;
+/// Weight of the mean occupancy since the last call in the one that tells whether an
+/// upstream is crowded; noise of 400 ms does not reach the limit at this weight.
+const CROWDING_WEIGHT: f64 = 0.35;
+/// Occupancy above which an upstream is crowded, as a fraction of its slots.
+const CROWDED_RATIO: f64 = 1.5;
+/// Factor by which a crowded upstream is taken to be able to do less, at each call.
+const RELIEF_FACTOR: f64 = 0.85;
+/// Lowest factor by which a crowded upstream is taken to be able to do less.
+const MIN_RELIEF: f64 = 0.4;
+/// Factor by which an upstream is taken to be able to do more again, at each call; much
+/// slower than the relief, so that keys do not move to and fro.
+const RECOVERY_FACTOR: f64 = 1.02;
 /// Weight of one host's mean in the occupancy.
 const OCCUPANCY_WEIGHT: f64 = 0.3;
 /// Time for which an upstream without reports is kept.
@@ -56,6 +72,21 @@
     occupancy_count: u32,
     /// Requests a second that the upstream can answer, if it has been saturated.
     capacity: Option<f64>,
+    /// Whether the upstream reports its momentary factor.
+    reports_pace: bool,
+    persistent_slowness: Option<f64>,
+    crowding_ratio: f64,
+    relief: f64,
+}
+
+/// What a holder of keys can do, apart from momentary noise.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HolderPace {
+    /// Mean service time relative to that of all upstreams.
+    pub slowness: f64,
+    /// Factor up to 1 by which it can do less than its speed tells; it falls while its
+    /// queue is long.
+    pub relief: f64,
 }
 
 /// Loads of the upstreams, gathered by the leader from all hosts.
@@ -77,6 +108,10 @@
             occupancy_sum: 0.0,
             occupancy_count: 0,
             capacity: None,
+            reports_pace: false,
+            persistent_slowness: None,
+            crowding_ratio: 0.0,
+            relief: 1.0,
         };
         let state = match self.upstreams.get_mut(id) {
             Some(state) => state,
@@ -91,6 +126,13 @@
             observed.occupancy_ratio,
             OCCUPANCY_WEIGHT,
         );
+        state.reports_pace |= observed.pace_factor.is_some();
+        let persistent_weight = 1.0 - 0.5_f64.powf(requests / PERSISTENT_HALF_LIFE_REQUESTS);
+        state.persistent_slowness = average(
+            state.persistent_slowness,
+            observed.slowness,
+            persistent_weight,
+        );
         state.sent += observed.requests;
         state.refused += observed.refused;
         state.answered += observed.answered;
@@ -106,6 +148,15 @@
         self.upstreams.get(id)?.load.slowness
     }
 
+    /// Returns what a holder of keys can do, if its momentary noise is known.
+    pub fn holder_pace(&self, id: &str) -> Option<HolderPace> {
+        let state = self.upstreams.get(id)?;
+        state.reports_pace.then(|| HolderPace {
+            slowness: state.persistent_slowness.unwrap_or(1.0),
+            relief: state.relief,
+        })
+    }
+
     /// Works out the shares from the reports since the last call, and returns the loads
     /// of the upstreams with an observation within the last `max_age`.
     pub fn update(&mut self, now: Moment, max_age: Duration) -> Vec<(UpstreamId, FleetLoad)> {
@@ -137,6 +188,9 @@
         let occupancy_count = std::mem::take(&mut self.occupancy_count);
         let occupancy_sum = std::mem::take(&mut self.occupancy_sum);
         let occupancy_ratio = occupancy_sum / f64::from(occupancy_count.max(1));
+        if self.reports_pace && occupancy_count > 0 {
+            self.update_relief(occupancy_ratio);
+        }
         // An upstream that resets most of its connections reports no load.
         let is_resetting = f64::from(answered) < f64::from(sent) * MIN_ANSWERED_FRACTION;
         let is_saturated = is_resetting || occupancy_ratio >= SATURATED_RATIO;
@@ -161,6 +215,19 @@
             self.capacity = None;
         }
     }
+
+    /// Works out by how much less the upstream can do than its speed tells.
+    ///
+    /// The slowness follows dozens of answers, and answers of an upstream that has become
+    /// slow are late. Its queue tells earlier.
+    fn update_relief(&mut self, occupancy_ratio: f64) {
+        self.crowding_ratio += CROWDING_WEIGHT * (occupancy_ratio - self.crowding_ratio);
+        self.relief = if self.crowding_ratio > CROWDED_RATIO {
+            (self.relief * RELIEF_FACTOR).max(MIN_RELIEF)
+        } else {
+            (self.relief * RECOVERY_FACTOR).min(1.0)
+        };
+    }
 }
 
 /// Returns the weighted average of an old and a new value, as far as there are any.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -33,9 +33,8 @@
 mod state;
 mod work;
 
-pub use fleet_loads::FleetLoads;
+pub use fleet_loads::{FleetLoads, HolderPace};
 pub use moves::MoveTracker;
-pub use pace::MomentaryPace;
 pub use selector::{Selection, SelectionLimits, SentRequest, UpstreamCandidate, UpstreamSelector};
 pub use state::{FleetLoad, LoadReport, ObservedLoad, RequestOutcome};
 pub use work::RequestWork;
--- a/crates/place/src/pace.rs
+++ b/crates/place/src/pace.rs
@@ -15,7 +15,7 @@
 
 /// Factor by which work takes longer at an upstream, as last reported.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct MomentaryPace {
+pub(crate) struct MomentaryPace {
     /// Time that work takes as a multiple of what it usually takes there.
     pub factor: f64,
     /// When it was reported.
--- a/crates/place/src/selector.rs
+++ b/crates/place/src/selector.rs
@@ -7,7 +7,6 @@
 //! its answer corrects it.
 
 use crate::estimate::{Judgment, LoadEstimate, Ranking, to_ms};
-use crate::pace::MomentaryPace;
 use crate::state::{
     FleetLoad, LoadReport, MeanWork, ObservedLoad, RequestOutcome, SentState, UpstreamState,
 };
@@ -149,22 +148,6 @@
             .set_fleet_load(now, fleet_load);
     }
 
-    /// Records a momentary factor of an upstream that another host was told.
-    pub fn record_pace(&mut self, id: &UpstreamId, pace: MomentaryPace) {
-        self.upstreams
-            .entry(id.clone())
-            .or_default()
-            .record_pace(pace);
-    }
-
-    /// Returns the momentary factors that upstreams reported to this host since the last
-    /// call.
-    pub fn drain_paces(&mut self) -> Vec<(UpstreamId, MomentaryPace)> {
-        let upstreams = self.upstreams.iter_mut();
-        let paces = upstreams.filter_map(|(id, state)| Some((id.clone(), state.drain_pace()?)));
-        paces.collect()
-    }
-
     /// Selects the upstream for a request.
     pub fn choose(
         &mut self,
--- a/crates/place/src/state.rs
+++ b/crates/place/src/state.rs
@@ -174,12 +174,10 @@
     next_probe_at: Moment,
     observed: ObservedSums,
     fleet_load: Option<(Moment, FleetLoad)>,
-    /// The momentary factor, as last reported to this or another host.
+    /// The momentary factor, as last reported to this host.
     pace: Option<MomentaryPace>,
     /// Whether the upstream has reported a momentary factor to this host.
     reports_pace: bool,
-    /// Whether `pace` was reported to this host since the last call of `drain_pace`.
-    is_pace_new: bool,
 }
 
 /// Sums of observations since the last report.
@@ -217,7 +215,6 @@
             fleet_load: None,
             pace: None,
             reports_pace: false,
-            is_pace_new: false,
         }
     }
 }
@@ -350,24 +347,6 @@
             .map_or(1.0, |pace| pace.expected_factor(now, duration_ms))
     }
 
-    /// Records a momentary factor, unless a later one is known.
-    pub(crate) fn record_pace(&mut self, pace: MomentaryPace) {
-        if self
-            .pace
-            .is_none_or(|known| known.reported_at < pace.reported_at)
-        {
-            self.pace = Some(pace);
-            self.is_pace_new = false;
-        }
-    }
-
-    /// Returns the momentary factor if it was reported to this host since the last call.
-    pub(crate) fn drain_pace(&mut self) -> Option<MomentaryPace> {
-        std::mem::take(&mut self.is_pace_new)
-            .then_some(self.pace)
-            .flatten()
-    }
-
     /// Returns the number of own measurements that the slowness counts for now.
     fn current_samples(&self, now: Moment, unit_ms: Option<f64>) -> f64 {
         let age = age_in_units(now, self.measured_at, unit_ms);
@@ -405,7 +384,6 @@
             if let Some(pace) = report.pace(now) {
                 self.pace = Some(pace);
                 self.reports_pace = true;
-                self.is_pace_new = true;
                 self.observed.pace_reports += 1;
                 self.observed.pace_factor += pace.factor;
             }
--- a/crates/place/tests/fleet/mod.rs
+++ b/crates/place/tests/fleet/mod.rs
@@ -2,17 +2,17 @@
 //! the loads that answers report.
 
 use crate::common::Work;
-use kernel::{Moment, UpstreamId};
+use kernel::Moment;
 use place::{
-    FleetLoads, LoadReport, MomentaryPace, RequestOutcome, Selection, SelectionLimits, SentRequest,
+    FleetLoads, LoadReport, RequestOutcome, Selection, SelectionLimits, SentRequest,
     UpstreamCandidate, UpstreamSelector,
 };
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::time::Duration;
 
-/// Interval at which hosts report what they observed and learn what all observed.
-const REPORT_INTERVAL_US: u64 = 700_000;
+/// Usual interval at which hosts report what they observed and learn what all observed.
+pub const REPORT_INTERVAL_US: u64 = 700_000;
 /// Time for which a momentary factor is in force.
 const NOISE_PERIOD_US: u64 = 400_000;
 /// Time before which nothing is counted, in microseconds.
@@ -46,6 +46,7 @@
     pub load: f64,
     pub seconds: u64,
     pub noise: Noise,
+    pub report_interval_us: u64,
 }
 
 /// Noise of upstreams that share their machines: every 400 ms, another fifth of them
@@ -56,8 +57,6 @@
     pub factor: f64,
     /// Whether answers report the momentary factor.
     pub is_reported: bool,
-    /// Mean age at which other hosts learn of a reported factor, if they do.
-    pub passed_on_after_ms: Option<u64>,
     /// Seconds in which hosts learn nothing from one another.
     pub silence: (u64, u64),
 }
@@ -79,8 +78,6 @@
     Arrival,
     Completion { upstream: usize, request: usize },
     Report,
-    CollectPaces,
-    TellPaces,
 }
 
 struct Upstream {
@@ -110,7 +107,6 @@
     counts: [u32; 4],
     counted: u32,
     choices: u64,
-    paces: Vec<(UpstreamId, MomentaryPace)>,
 }
 
 pub fn play(shape: &Shape, policy: Policy, seed: u64) -> Outcome {
@@ -156,7 +152,6 @@
             counts: [0; 4],
             counted: 0,
             choices: 0,
-            paces: Vec::new(),
             shape,
         }
     }
@@ -165,17 +160,12 @@
         let ends_us = WARM_UP_US + self.shape.seconds * 1_000_000;
         self.events.push(Reverse((0, Event::Arrival)));
         self.events
-            .push(Reverse((REPORT_INTERVAL_US, Event::Report)));
-        if self.shape.noise.passed_on_after_ms.is_some() {
-            self.events.push(Reverse((0, Event::CollectPaces)));
-        }
+            .push(Reverse((self.shape.report_interval_us, Event::Report)));
         while let Some(Reverse((now_us, event))) = self.events.pop() {
             match event {
                 Event::Arrival if now_us < ends_us => self.arrive(now_us),
                 Event::Report if now_us < ends_us => self.report(now_us),
-                Event::CollectPaces if now_us < ends_us => self.collect_paces(now_us),
-                Event::TellPaces => self.tell_paces(now_us),
-                Event::Arrival | Event::Report | Event::CollectPaces => {}
+                Event::Arrival | Event::Report => {}
                 Event::Completion { upstream, request } => {
                     self.complete(now_us, upstream, request);
                 }
@@ -313,29 +303,6 @@
         (from * 1_000_000..to * 1_000_000).contains(&now_us)
     }
 
-    fn collect_paces(&mut self, now_us: u64) {
-        for host in &mut self.hosts {
-            self.paces.extend(host.drain_paces());
-        }
-        let age_us = self.shape.noise.passed_on_after_ms.unwrap_or_default() * 1_000;
-        self.events
-            .push(Reverse((now_us + age_us / 2, Event::TellPaces)));
-        self.events
-            .push(Reverse((now_us + age_us, Event::CollectPaces)));
-    }
-
-    fn tell_paces(&mut self, now_us: u64) {
-        let paces = std::mem::take(&mut self.paces);
-        if self.is_silent(now_us) {
-            return;
-        }
-        for host in &mut self.hosts {
-            for (id, pace) in &paces {
-                host.record_pace(id, *pace);
-            }
-        }
-    }
-
     fn complete(&mut self, now_us: u64, upstream: usize, request: usize) {
         self.upstreams[upstream].running -= 1;
         if let Some(next) = self.upstreams[upstream].queue.pop_front() {
@@ -376,7 +343,7 @@
     }
 
     fn report(&mut self, now_us: u64) {
-        let next_us = now_us + REPORT_INTERVAL_US;
+        let next_us = now_us + self.shape.report_interval_us;
         self.events.push(Reverse((next_us, Event::Report)));
         if self.is_silent(now_us) {
             return;
--- a/crates/place/tests/fleet_choice.rs
+++ b/crates/place/tests/fleet_choice.rs
@@ -6,7 +6,7 @@
 #[allow(dead_code, reason = "other tests use more of it")]
 mod fleet;
 
-use fleet::{Noise, Policy, Shape, play};
+use fleet::{Noise, Policy, REPORT_INTERVAL_US, Shape, play};
 use rstest::rstest;
 
 /// 18 hosts and 6 upstreams: each host sees a good part of the load.
@@ -23,6 +23,7 @@
         load: 0.8,
         seconds: 20,
         noise: Noise::default(),
+        report_interval_us: REPORT_INTERVAL_US,
     }
 }
 
--- a/crates/place/tests/uneven.rs
+++ b/crates/place/tests/uneven.rs
@@ -5,7 +5,8 @@
 #[allow(dead_code, reason = "other tests use more of it")]
 mod fleet;
 
-use fleet::{Noise, Policy, Shape, play};
+use fleet::{Noise, Policy, REPORT_INTERVAL_US, Shape, play};
+use place::LoadReport;
 use rstest::rstest;
 
 fn small() -> Shape {
@@ -21,6 +22,7 @@
         load: 0.8,
         seconds: 20,
         noise: Noise::default(),
+        report_interval_us: REPORT_INTERVAL_US,
     }
 }
 
@@ -35,38 +37,101 @@
     assert_eq!(outcome.choices, expected, "{outcome:?}");
 }
 
-#[test]
-#[ignore = "prints a table"]
-fn choose_under_noise_table() {
-    let keyless = Shape { speeds: vec![0.7, 0.85, 1.0, 1.3, 1.6], ..small() };
-    let shapes = [
-        ("18/6", Shape { upstreams: 10, ..keyless.clone() }),
-        ("60/60 1 slot", Shape { hosts: 60, upstreams: 60, slots: 1, queue: 6, work_ms: 90.0, target_ms: 400.0, ..keyless.clone() }),
-        ("135/120 2 slots", Shape { hosts: 135, upstreams: 120, slots: 2, queue: 6, work_ms: 90.0, target_ms: 400.0, ..keyless.clone() }),
-        ("135/120 160ms", Shape { hosts: 135, upstreams: 120, slots: 2, queue: 6, work_ms: 160.0, target_ms: 800.0, ..keyless.clone() }),
-    ];
-    for (name, shape) in shapes {
-        for load in [0.5, 0.8, 1.0] {
-            let noise = |is_reported, passed_on_after_ms| Noise { factor: 3.0, is_reported, passed_on_after_ms, silence: (0, 0) };
-            let variants = [
-                ("no noise", Noise::default(), Policy::Selector),
-                ("3 figures", noise(false, None), Policy::Selector),
-                ("4 figures", noise(true, None), Policy::Selector),
-                ("passed 50", noise(true, Some(50)), Policy::Selector),
-                ("passed 100", noise(true, Some(100)), Policy::Selector),
-                ("passed 200", noise(true, Some(200)), Policy::Selector),
-                ("passed 700", noise(true, Some(700)), Policy::Selector),
-                ("oracle", noise(false, None), Policy::Oracle),
-                ("random", noise(false, None), Policy::Random),
-            ];
-            for (variant, noise, policy) in variants {
-                let mut sum = [0.0; 4];
-                for seed in [3, 4, 5] {
-                    let o = play(&Shape { load, noise, ..shape.clone() }, policy, seed);
-                    for (s, v) in sum.iter_mut().zip([o.in_time, o.late, o.refused, o.rejected]) { *s += v / 3.0; }
-                }
-                println!("{name:16} {load} {variant:10} in_time {:.3} late {:.3} refused {:.3} rejected {:.3}", sum[0], sum[1], sum[2], sum[3]);
-            }
-        }
+/// 135 hosts and 120 upstreams of unequal persistent speed under noise of 3x.
+fn noisy(is_reported: bool) -> Shape {
+    Shape {
+        hosts: 135,
+        upstreams: 120,
+        slots: 2,
+        queue: 6,
+        speeds: vec![0.7, 0.85, 1.0, 1.3, 1.6],
+        work_ms: 90.0,
+        target_ms: 400.0,
+        seconds: 10,
+        noise: Noise {
+            factor: 3.0,
+            is_reported,
+            ..Noise::default()
+        },
+        ..small()
     }
 }
+
+/// Guards against mistaking momentary noise for the speed of an upstream: then fewer
+/// requests are answered in time, and more go to upstreams that have no room.
+#[rstest]
+fn choose_under_noise_serves_more_with_the_momentary_figure(#[values(0.5, 0.8)] load: f64) {
+    let play = |is_reported| {
+        let shape = Shape {
+            load,
+            ..noisy(is_reported)
+        };
+        play(&shape, Policy::Selector, 3)
+    };
+    let (without, with) = (play(false), play(true));
+    assert!(
+        with.in_time > without.in_time + 0.02 && with.rejected < without.rejected * 0.5,
+        "{without:?} {with:?}"
+    );
+}
+
+/// Guards against a choice that needs what other hosts observed lately: loads that are
+/// 2 s old, or lost for 5 s, do no harm under noise.
+#[rstest]
+#[case::old(2_100_000, (0, 0))]
+#[case::lost(REPORT_INTERVAL_US, (10, 15))]
+fn choose_under_noise_without_recent_reports_serves_as_much(
+    #[case] report_interval_us: u64,
+    #[case] silence: (u64, u64),
+) {
+    let shape = Shape {
+        report_interval_us,
+        ..noisy(true)
+    };
+    let noise = Noise {
+        silence,
+        ..shape.noise
+    };
+    let with = play(&noisy(true), Policy::Selector, 3);
+    let without = play(&Shape { noise, ..shape }, Policy::Selector, 3);
+    assert!(
+        without.in_time > with.in_time - 0.02,
+        "{without:?} {with:?}"
+    );
+}
+
+/// Guards against losing the first three figures to an invalid fourth, and against
+/// figures that would distort every estimate.
+#[rstest]
+#[case::three_figures("1,2,4", None)]
+#[case::four_figures("1,2,4,300", Some(300))]
+#[case::spaces(" 1, 2 ,4 , 33 ", Some(33))]
+#[case::fraction("1,2,4,33.4", Some(33))]
+#[case::zero("1,2,4,0", None)]
+#[case::negative("1,2,4,-300", None)]
+#[case::huge("1,2,4,99999999999999999999999", None)]
+#[case::not_a_number("1,2,4,NaN", None)]
+#[case::infinite("1,2,4,inf", None)]
+#[case::text("1,2,4,slow", None)]
+#[case::empty("1,2,4,", None)]
+#[case::further_figures("1,2,4,50,7,x", Some(50))]
+#[case::further_after_invalid("1,2,4,x,50", None)]
+fn parse_fourth_figure_leaves_the_others_valid(
+    #[case] text: &str,
+    #[case] work_percent: Option<u32>,
+) {
+    let expected = LoadReport {
+        running: 1,
+        waiting: 2,
+        slots: 4,
+        work_percent,
+    };
+    assert_eq!(LoadReport::parse(text), Some(expected));
+}
+
+#[rstest]
+fn parse_without_three_figures_is_no_report(
+    #[values("", "1,2", "1,x,4,100", "-1,2,4", "1,2,4294967296,100")] text: &str,
+) {
+    assert_eq!(LoadReport::parse(text), None);
+}
