Carry the momentary figure to the leader, and log holders that it relieves

Observations in reports have the mean momentary factor in one byte, by which the leader knows the holders whose noise is known; the format of peer messages is 12. Replies tell how old their loads are. New metrics: trestle_momentary_figures_total, trestle_relieved_holders and trestle_fleet_load_age_seconds.

--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -139,6 +139,12 @@
 impl Drop for SendGuard<'_> {
     fn drop(&mut self) {
         let now = self.state.clock.now();
+        if self
+            .report
+            .is_some_and(|report| report.work_percent.is_some())
+        {
+            self.state.metrics.momentary_figures.inc();
+        }
         let mut selector = self.state.selector.lock();
         selector.record_outcome(now, self.work, &self.sent, self.outcome, self.report);
     }
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -9,8 +9,8 @@
 use async_std::net::TcpStream;
 use fleet::UpstreamEntry;
 use h1::{Connection, HeadLimits, ResponseHead};
-use kernel::{Cause, Clock};
-use log::warn;
+use kernel::{Cause, Clock, UpstreamId};
+use log::{debug, warn};
 use place::{LoadReport, RequestOutcome};
 use std::sync::Arc;
 use std::time::Duration;
@@ -191,10 +191,8 @@
         head: ResponseHead,
         max_idle: u32,
     ) -> ExchangeResult {
-        let report = head
-            .headers
-            .get(self.names.load)
-            .and_then(LoadReport::parse);
+        let load = head.headers.get(self.names.load);
+        let report = load.and_then(|text| parse_load(&entry.id, text));
         let remaining = request.deadline - self.clock.now();
         let reading = self.read_body(&mut connection, &head);
         let mut is_reusable = head.keeps_alive;
@@ -259,3 +257,14 @@
         }
     }
 }
+
+/// Parses the load header, and logs figures that are ignored.
+fn parse_load(id: &UpstreamId, text: &str) -> Option<LoadReport> {
+    let report = LoadReport::parse(text);
+    let is_ignored =
+        |report: LoadReport| report.work_percent.is_none() && text.matches(',').count() > 2;
+    if report.is_none_or(is_ignored) {
+        debug!(target: "upstream", "upstream={id} load={text:?} state=figures-ignored");
+    }
+    report
+}
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -5,6 +5,7 @@
 use crate::adapter::{FrontSettings, SharedBounds, UserPlatform};
 use crate::dispatch::Dispatcher;
 use crate::grant_client::GrantClient;
+use crate::holder_paces::HolderPaces;
 use crate::metrics::FrontMetrics;
 use crate::peers::PeerRegistry;
 use crate::random::RandomSource;
@@ -118,6 +119,7 @@
     store_failing_since: Option<Moment>,
     /// Versions of the entries and the sheet that were last announced to all hosts.
     announced_versions: (u64, u64),
+    holder_paces: HolderPaces,
 }
 
 impl LeaderLoop {
@@ -151,6 +153,7 @@
             leadership_changed_at: Moment::ZERO,
             store_failing_since: None,
             announced_versions: (0, 0),
+            holder_paces: HolderPaces::default(),
             context,
         }
     }
@@ -236,6 +239,7 @@
         let term = self.row.as_ref().map_or(0, |row| row.term);
         if !is_leading {
             self.context.peers.set_leading(None, &[]);
+            self.holder_paces.retain(&self.context.metrics, |_| false);
         }
         info!(target: "lead", "leads={is_leading} term={term} row={}", self.row_version);
     }
@@ -469,6 +473,8 @@
         let dispatch = &self.context.dispatcher.state;
         let view = dispatch.view.load();
         let mean_service_time = dispatch.selector.lock().mean_service_time(service);
+        self.holder_paces
+            .retain(&self.context.metrics, |id| view.upstreams.contains_key(id));
         let mut candidates = Vec::new();
         for id in view.by_service.get(service).into_iter().flatten() {
             let Some(known) = view.upstreams.get(id) else {
@@ -477,9 +483,15 @@
             if !known.is_listed() && !known.accepts_requests(now) {
                 continue;
             }
-            let slowness = self.context.peers.slowness(id.as_str()).unwrap_or(1.0);
-            let (min, max) = RELATIVE_SPEED_RANGE;
-            let speed = (1.0 / slowness).clamp(min, max);
+            let pace = self.context.peers.holder_pace(id.as_str());
+            let speed = if let Some(pace) = pace {
+                self.holder_paces.record(id, pace, &self.context.metrics);
+                pace.speed()
+            } else {
+                let slowness = self.context.peers.slowness(id.as_str()).unwrap_or(1.0);
+                let (min, max) = RELATIVE_SPEED_RANGE;
+                (1.0 / slowness).clamp(min, max)
+            };
             let capacity = f64::from(known.entry.slots.max(1)) * speed;
             candidates.push(OwnerCandidate {
                 holder: Holder {
@@ -489,6 +501,7 @@
                 capacity,
                 max_rate: mean_service_time.map(|time| capacity / time.as_secs_f64().max(1e-6)),
                 accepts_keys: known.is_listed(),
+                relief: pace.map(|pace| pace.relief),
             });
         }
         candidates
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -30,6 +30,7 @@
 mod exchange;
 mod follower;
 mod grant_client;
+mod holder_paces;
 mod host;
 mod leader;
 mod logs;
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -21,7 +21,7 @@
 pub(crate) const MAX_SHEET_BYTES: usize = MAX_DATAGRAM_BYTES - (8 << 10);
 /// First byte of every message. A message with another format comes from a host that
 /// runs another version of the program during an upgrade.
-const FORMAT: u8 = 11;
+const FORMAT: u8 = 12;
 
 /// A message that could not be encoded or decoded.
 #[derive(Debug)]
@@ -252,6 +252,8 @@
     pub standbys: Vec<String>,
     /// Addresses of all hosts, for a standby that may have to lead.
     pub host_addresses: Vec<SocketAddr>,
+    /// Time since `fleet_loads` were computed, in milliseconds.
+    pub fleet_loads_age_ms: u32,
 }
 
 impl LeaderReply {
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use kernel::Verdict;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 use std::time::Duration;
 
@@ -26,6 +26,13 @@
     pub is_leader: IntGauge,
     /// Version of the sheet in force.
     pub sheet_version: IntGauge,
+    /// Responses that reported how long work takes at the moment.
+    pub momentary_figures: IntCounter,
+    /// Holders that the leader gives fewer keys because their queue is long.
+    pub relieved_holders: IntGauge,
+    /// Age of the loads of all hosts when they arrive from the leader, since it computed
+    /// them.
+    pub fleet_load_age: Histogram,
 }
 
 impl FrontMetrics {
@@ -49,6 +56,14 @@
             Opts::new("trestle_store_calls_total", "Calls to the platform's store"),
             &["call", "table"],
         )?;
+        let fleet_load_age = Histogram::with_opts(
+            HistogramOpts::new(
+                "trestle_fleet_load_age_seconds",
+                "Age of the leader's loads",
+            )
+            .buckets(LATENCY_BUCKETS.to_vec()),
+        )?;
+        registry.register(Box::new(fleet_load_age.clone()))?;
         registry.register(Box::new(store_calls.clone()))?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
@@ -70,6 +85,12 @@
             store_failures: counter("trestle_store_failures_total", "Failed store calls")?,
             is_leader: gauge("trestle_is_leader", "1 while this host grants keys")?,
             sheet_version: gauge("trestle_sheet_version", "Version of the sheet in force")?,
+            momentary_figures: counter(
+                "trestle_momentary_figures_total",
+                "Responses with a momentary figure",
+            )?,
+            relieved_holders: gauge("trestle_relieved_holders", "Holders with a long queue")?,
+            fleet_load_age,
             registry,
         })
     }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -2,14 +2,14 @@
 
 use crate::message::{HostReport, KnownVersions, LeaderReply};
 use crate::random::RandomSource;
-use crate::wire_load::WireLoad;
+use crate::wire_load::{LoadList, WireLoad};
 use async_channel::{Receiver, Sender, bounded};
 use async_std::future::timeout;
 use grant::{KeyLoads, PreviousTerm};
 use indexmap::IndexMap;
 use kernel::{Clock, DomainName, Moment, ServiceName, UpstreamId};
 use parking_lot::Mutex;
-use place::{FleetLoads, ObservedLoad};
+use place::{FleetLoads, HolderPace, ObservedLoad};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -480,7 +480,7 @@
 
     /// Returns the next recent loads. The others follow in later replies, as small hosts
     /// have narrow links.
-    pub(crate) fn next_fleet_loads(&self) -> Vec<WireLoad> {
+    pub(crate) fn next_fleet_loads(&self) -> LoadList {
         let now = self.clock.now();
         let mut state = self.state.lock();
         if now - state.loads_updated_at >= LOADS_REFRESH_INTERVAL {
@@ -494,7 +494,10 @@
         let from = state.loads_offset.min(state.recent_loads.len());
         let (before, after) = state.recent_loads.split_at(from);
         let loads = after.iter().chain(before);
-        loads.take(MAX_REPLY_LOADS).copied().collect()
+        LoadList {
+            loads: loads.take(MAX_REPLY_LOADS).copied().collect(),
+            age: now - state.loads_updated_at,
+        }
     }
 
     /// Returns an upstream's service time relative to that of all upstreams, as all
@@ -503,6 +506,11 @@
         self.state.lock().fleet_loads.slowness(id)
     }
 
+    /// Returns what a holder of keys can do, if its momentary noise is known.
+    pub(crate) fn holder_pace(&self, id: &str) -> Option<HolderPace> {
+        self.state.lock().fleet_loads.holder_pace(id)
+    }
+
     /// Applies a host's report, which came from `address`, with the loads that it
     /// observed.
     pub(crate) fn apply_report(
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -13,7 +13,7 @@
 use crate::peers::PeerRegistry;
 use crate::replica::StoreReplica;
 use crate::send_budget::SendBudget;
-use crate::wire_load::{WireLoad, WireObservation};
+use crate::wire_load::{LoadList, WireLoad, WireObservation};
 use async_std::net::UdpSocket;
 use fleet::EntryChange;
 use grant::PreviousTerm;
@@ -70,7 +70,7 @@
             };
             if self.socket.local_addr().ok() == Some(leader) {
                 self.apply_report(&report, leader);
-                self.set_fleet_loads(&self.peers.next_fleet_loads());
+                self.set_fleet_loads(&self.peers.next_fleet_loads().loads);
                 continue;
             }
             if let Some(bytes) = encode(&PeerMessage::Report(report)) {
@@ -114,7 +114,7 @@
             }
             let datagrams = match cached.take() {
                 Some((cached_known, datagrams)) if cached_known == known => datagrams,
-                _ => encode_all(self.replies(term, term_end, &known, false, Vec::new())),
+                _ => encode_all(self.replies(term, term_end, &known, false, LoadList::default())),
             };
             for bytes in &datagrams {
                 self.send(bytes, address).await;
@@ -146,7 +146,7 @@
         term_end: Option<TermEnd<'_>>,
         known: &KnownVersions,
         is_for_standby: bool,
-        fleet_loads: Vec<WireLoad>,
+        load_list: LoadList,
     ) -> Vec<LeaderReply> {
         let first = LeaderReply {
             term,
@@ -161,13 +161,14 @@
             entries_base: known.entries,
             entries: Vec::new(),
             entries_version: self.replica.last_entry_version(),
-            fleet_loads,
+            fleet_loads: load_list.loads,
             standbys: self.peers.standbys(),
             host_addresses: if is_for_standby {
                 self.peers.addresses()
             } else {
                 Vec::new()
             },
+            fleet_loads_age_ms: load_list.age.as_millis() as u32,
         };
         let changes = self.replica.entry_changes_since(known.entries);
         let mut replies = vec![first];
@@ -206,6 +207,16 @@
         }
     }
 
+    /// Records how old the loads were when they arrived.
+    fn record_load_age(&self, reply: &LeaderReply) {
+        if reply.fleet_loads.is_empty() {
+            return;
+        }
+        let age = Duration::from_millis(u64::from(reply.fleet_loads_age_ms));
+        let metrics = &self.dispatcher.state.metrics;
+        metrics.fleet_load_age.observe(age.as_secs_f64());
+    }
+
     /// Applies another host's report, or this one's while it leads.
     fn apply_report(&self, report: &HostReport, from: SocketAddr) {
         let view = self.dispatcher.state.view.load();
@@ -303,13 +314,13 @@
                     // looks for the leader in the store.
                     if let Some(term) = self.peers.leading_term() {
                         let is_for_standby = self.peers.standbys().contains(&report.host);
-                        let fleet_loads = self.peers.next_fleet_loads();
+                        let load_list = self.peers.next_fleet_loads();
                         let known = if self.has_send_room() {
                             report.known
                         } else {
                             self.told_versions()
                         };
-                        let replies = self.replies(term, None, &known, is_for_standby, fleet_loads);
+                        let replies = self.replies(term, None, &known, is_for_standby, load_list);
                         for bytes in encode_all(replies) {
                             self.send(&bytes, peer).await;
                         }
@@ -326,6 +337,7 @@
                         .budgets
                         .set_host_count(reply.host_count);
                     self.set_fleet_loads(&reply.fleet_loads);
+                    self.record_load_age(&reply);
                     let changes = reply.entries.into_iter().map(EntryChange::from);
                     let changes: Vec<EntryChange> = changes.collect();
                     self.replica
--- a/crates/front/src/wire_load.rs
+++ b/crates/front/src/wire_load.rs
@@ -3,6 +3,7 @@
 use kernel::UpstreamId;
 use place::{FleetLoad, ObservedLoad};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Load of an upstream as one host observed it.
@@ -17,6 +18,8 @@
     refused: u16,
     slowness: WireSlowness,
     occupancy: WireOccupancy,
+    /// The momentary factor, on the scale of the slowness.
+    pace: WireSlowness,
 }
 
 /// Load of an upstream as all hosts observed it; messages hold one for each upstream.
@@ -29,6 +32,14 @@
     share: WireShare,
 }
 
+/// Loads in one message of the leader.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LoadList {
+    pub loads: Vec<WireLoad>,
+    /// Time since the list was computed.
+    pub age: Duration,
+}
+
 /// Returns the hash by which messages refer to an upstream (xxHash3, truncated).
 pub(crate) fn upstream_hash(id: &UpstreamId) -> u32 {
     xxh3_64(id.as_str().as_bytes()) as u32
@@ -111,6 +122,7 @@
             refused: to_count(load.refused),
             slowness: load.slowness.into(),
             occupancy: load.occupancy_ratio.into(),
+            pace: load.pace_factor.into(),
         }
     }
 }
@@ -123,6 +135,7 @@
             refused: u32::from(wire.refused),
             slowness: wire.slowness.into(),
             occupancy_ratio: wire.occupancy.into(),
+            pace_factor: wire.pace.into(),
         }
     }
 }
--- a/crates/grant/tests/keyed_play/mod.rs
+++ b/crates/grant/tests/keyed_play/mod.rs
@@ -162,12 +162,12 @@
             self.now_ms += TICK_MS;
             self.work();
             self.arrive();
-            if self.now_ms % STEP_MS == 0 {
+            if self.now_ms.is_multiple_of(STEP_MS) {
                 self.step_leader();
             }
             let (from, to) = self.scene.silence;
             let is_silent = (from * 1_000..to * 1_000).contains(&self.now_ms);
-            if self.now_ms % REPORT_MS == 0 && !is_silent {
+            if self.now_ms.is_multiple_of(REPORT_MS) && !is_silent {
                 self.report();
             }
         }
@@ -370,7 +370,7 @@
             };
             self.ledger.record_reply(now, &call, reply);
         }
-        if self.now_ms % (STEP_MS * 7) == 0 {
+        if self.now_ms.is_multiple_of(STEP_MS * 7) {
             self.loads
                 .decay(Duration::from_millis(STEP_MS * 7), LOAD_HALF_LIFE);
         }
