--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -268,6 +268,8 @@
     pub host_addresses: Vec<SocketAddr>,
     /// Orders to evacuate failure domains, if the receiver does not know them.
     pub orders: Option<WireOrders>,
+    /// Time since `fleet_loads` were computed, in milliseconds.
+    pub fleet_loads_age_ms: u32,
 }
 
 impl LeaderReply {
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use kernel::Verdict;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 use std::time::Duration;
 
@@ -32,6 +32,13 @@
     pub evacuation_refusals: IntCounterVec,
     /// Ranges in evacuated domains that this leader has still to move.
     pub evacuation_ranges: IntGauge,
+    /// Responses that reported how long work takes at the moment.
+    pub momentary_figures: IntCounter,
+    /// Holders that the leader gives fewer keys because their queue is long.
+    pub relieved_holders: IntGauge,
+    /// Age of the loads of all hosts when they arrive from the leader, since it computed
+    /// them.
+    pub fleet_load_age: Histogram,
 }
 
 impl FrontMetrics {
@@ -63,6 +70,14 @@
             &["rank"],
         )?;
         registry.register(Box::new(evacuation_refusals.clone()))?;
+        let fleet_load_age = Histogram::with_opts(
+            HistogramOpts::new(
+                "trestle_fleet_load_age_seconds",
+                "Age of the leader's loads",
+            )
+            .buckets(LATENCY_BUCKETS.to_vec()),
+        )?;
+        registry.register(Box::new(fleet_load_age.clone()))?;
         registry.register(Box::new(store_calls.clone()))?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
@@ -90,6 +105,12 @@
                 "trestle_evacuation_ranges",
                 "Ranges in evacuated domains still to be moved by this leader",
             )?,
+            momentary_figures: counter(
+                "trestle_momentary_figures_total",
+                "Responses with a momentary figure",
+            )?,
+            relieved_holders: gauge("trestle_relieved_holders", "Holders with a long queue")?,
+            fleet_load_age,
             registry,
         })
     }
--- a/crates/place/src/selector.rs
+++ b/crates/place/src/selector.rs
@@ -243,7 +243,8 @@
             // Weighted sampling without replacement: the smallest of exponential
             // variables whose rates are the weights.
             let slowness = state.slowness(now, work.unit_ms, candidate.is_cold);
-            let rate = f64::from(candidate.slots.max(1)) / (slowness * state.avoidance());
+            let pace = state.pace_factor(now, work.unit_ms.unwrap_or_default() * slowness);
+            let rate = f64::from(candidate.slots.max(1)) / (slowness * pace * state.avoidance());
             drawn.push((-self.rng.f64().ln() / rate, index));
         }
         drawn.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -342,9 +343,9 @@
         let Some(state) = self.upstreams.get_mut(&request.id) else {
             return;
         };
-        let service_ms = state.record_outcome(now, outcome, request.sent, report, mean_work);
-        if let Some(service_ms) = service_ms {
-            self.work_times.record(now, work, service_ms);
+        let sample = state.record_outcome(now, outcome, request.sent, report, mean_work);
+        if let Some(sample) = sample {
+            self.work_times.record(now, work, sample);
         }
         if let Some(report) = report {
             let ratio = report.occupancy() / f64::from(report.slots.max(1));
