Add the decisions of the budget for cold upstreams

A cold upstream tolerates a few requests a second from all hosts together, and no host knows what the others send.

--- /dev/null
+++ b/crates/cold/src/states.rs
@@ -0,0 +1,164 @@
+//! Upstreams that were found cold by other means than their entries.
+
+use crate::UpstreamRun;
+use indexmap::IndexMap;
+use kernel::Moment;
+use std::time::Duration;
+
+/// Time without a connection after which an upstream that did not answer counts as
+/// silent: a single connection that timed out may be due to lost packets.
+const MIN_SILENCE: Duration = Duration::from_millis(500);
+/// Time after an upstream's return from which an entry of the same run says how cold it
+/// is. An entry that was written before it fell silent arrives earlier.
+const ENTRY_SETTLE: Duration = Duration::from_secs(1);
+
+/// How an upstream was found to be cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ColdSource {
+    /// It returned after it could not be reached, so that it may be a new run.
+    Return,
+    /// One of its responses said so.
+    Response,
+    /// Another host said so.
+    Peer,
+}
+
+impl ColdSource {
+    /// Returns the text used in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Return => "return",
+            Self::Response => "response",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+/// Upstreams that a host found cold, or was told of.
+#[derive(Clone, Debug, Default)]
+pub struct ColdStates {
+    found: IndexMap<UpstreamRun, FoundCold>,
+    silent: IndexMap<u32, SilentSince>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct FoundCold {
+    source: ColdSource,
+    found_at: Moment,
+    until: Moment,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SilentSince {
+    since: Moment,
+    /// Whether it refused a connection, which shows that its process had ended.
+    has_refused: bool,
+}
+
+impl ColdStates {
+    /// Records that no connection to an upstream could be made.
+    pub fn record_unreachable(&mut self, now: Moment, upstream: u32, is_refused: bool) {
+        let silent = self.silent.entry(upstream).or_insert(SilentSince {
+            since: now,
+            has_refused: false,
+        });
+        silent.has_refused |= is_refused;
+    }
+
+    /// Returns whether any upstream is silent.
+    pub fn has_silent(&self) -> bool {
+        !self.silent.is_empty()
+    }
+
+    /// Records that a connection to an upstream could be made; returns whether it has
+    /// returned and is taken for cold for the duration `start`.
+    pub fn record_reached(&mut self, now: Moment, run: UpstreamRun, start: Duration) -> bool {
+        let Some(silent) = self.silent.swap_remove(&run.upstream) else {
+            return false;
+        };
+        if !silent.has_refused && now - silent.since < MIN_SILENCE {
+            return false;
+        }
+        self.raise(now, run, now + start, ColdSource::Return);
+        true
+    }
+
+    /// Records the time for which an upstream says in a response that it stays cold;
+    /// returns whether that makes it colder.
+    pub fn record_response(&mut self, now: Moment, run: UpstreamRun, remaining: Duration) -> bool {
+        if let Some(found) = self.found.get(&run)
+            && found.source == ColdSource::Return
+        {
+            self.found.swap_remove(&run);
+        }
+        if remaining.is_zero() {
+            return false;
+        }
+        self.raise(now, run, now + remaining, ColdSource::Response)
+    }
+
+    /// Records what another host said; returns whether that makes the upstream colder.
+    pub fn record_peer(&mut self, now: Moment, run: UpstreamRun, remaining: Duration) -> bool {
+        !remaining.is_zero() && self.raise(now, run, now + remaining, ColdSource::Peer)
+    }
+
+    /// Records that a newer entry of a run has arrived, which says how cold it is.
+    pub fn record_entry(&mut self, now: Moment, run: UpstreamRun) {
+        let is_assumed = self.found.get(&run).is_some_and(|found| {
+            found.source == ColdSource::Return && now - found.found_at >= ENTRY_SETTLE
+        });
+        if is_assumed {
+            self.found.swap_remove(&run);
+        }
+    }
+
+    fn raise(
+        &mut self,
+        now: Moment,
+        run: UpstreamRun,
+        until: Moment,
+        source: ColdSource,
+    ) -> bool {
+        match self.found.get(&run) {
+            Some(found) if found.until >= until => false,
+            _ => {
+                self.found.insert(
+                    run,
+                    FoundCold {
+                        source,
+                        found_at: now,
+                        until,
+                    },
+                );
+                true
+            }
+        }
+    }
+
+    /// Returns until when a run is cold, if it was found to be.
+    pub fn cold_until(&self, run: UpstreamRun) -> Option<Moment> {
+        self.found.get(&run).map(|found| found.until)
+    }
+
+    /// Returns the cold runs and for how much longer they stay so. Those that other hosts
+    /// told of are left out if `is_own`: told back, each delay of a message would prolong
+    /// them.
+    pub fn remaining(&self, now: Moment, is_own: bool) -> Vec<(UpstreamRun, Duration)> {
+        let mut remaining = Vec::new();
+        for (run, found) in &self.found {
+            if now >= found.until || (is_own && found.source == ColdSource::Peer) {
+                continue;
+            }
+            remaining.push((*run, found.until - now));
+        }
+        remaining
+    }
+
+    /// Forgets runs that have been warm for `max_age`, and upstreams that are not known
+    /// any more.
+    pub fn prune(&mut self, now: Moment, max_age: Duration, is_known: impl Fn(u32) -> bool) {
+        self.found
+            .retain(|run, found| now < found.until + max_age && is_known(run.upstream));
+        self.silent.retain(|upstream, _| is_known(*upstream));
+    }
+}
