Limit the requests that cold upstreams receive from all hosts

When 111 upstreams returned at once, one received 14 requests in a second where 13.7 were allowed, and three crashed: each host decided alone. Where the sheet has cold_per_s and cold_start_s and the settings cold_over and cold_slack, a request to a cold upstream now needs a token, which the leader issues in its reply to a report. Requests without a key go to other upstreams first; others wait up to 0.5 s for a token, or are refused with a Retry-After. The leader gives cold upstreams few keys. The format of peer messages is 12.

--- a/crates/cold/src/issuer.rs
+++ b/crates/cold/src/issuer.rs
@@ -90,9 +90,8 @@
         }
         let mut wants = wants.to_vec();
         wants.sort_by_key(|want| want.rank);
-        for history in self.upstreams.values_mut() {
-            history.unmet.retain(|unmet| unmet.host != host);
-        }
+        // What the previous leader issued is unknown: the allowance counts from its end.
+        let counts_from = self.issues_from.saturating_sub(ISSUE_WINDOW);
         let mut grants: IndexMap<UpstreamRun, u32> = IndexMap::new();
         for want in wants {
             let Some(limit) = limit_of(want.run) else {
@@ -101,8 +100,11 @@
             let history = self
                 .upstreams
                 .entry(want.run.upstream)
-                .or_insert_with(|| IssueHistory::new(now, &limit));
+                .or_insert_with(|| IssueHistory::new(counts_from));
             history.update(now, &limit);
+            history
+                .unmet
+                .retain(|unmet| unmet.rank != want.rank || unmet.host != host);
             let reserved = history.reserved_for_more_urgent(want.rank);
             let count = history
                 .available(&limit)
@@ -136,11 +138,11 @@
 }
 
 impl IssueHistory {
-    fn new(now: Moment, limit: &ColdLimit) -> Self {
+    fn new(counts_from: Moment) -> Self {
         Self {
             issued_at: VecDeque::new(),
-            allowance: f64::from(limit.burst()),
-            updated_at: now,
+            allowance: 0.0,
+            updated_at: counts_from,
             unmet: Vec::new(),
         }
     }
--- a/crates/cold/src/states.rs
+++ b/crates/cold/src/states.rs
@@ -83,6 +83,16 @@
         true
     }
 
+    /// Records that an upstream answered over a connection that was open before: what
+    /// failed was a single connection, unless it was refused.
+    pub fn record_alive(&mut self, upstream: u32) {
+        if let Some(silent) = self.silent.get(&upstream)
+            && !silent.has_refused
+        {
+            self.silent.swap_remove(&upstream);
+        }
+    }
+
     /// Records the time for which an upstream says in a response that it stays cold;
     /// returns whether that makes it colder.
     pub fn record_response(&mut self, now: Moment, run: UpstreamRun, remaining: Duration) -> bool {
@@ -112,13 +122,7 @@
         }
     }
 
-    fn raise(
-        &mut self,
-        now: Moment,
-        run: UpstreamRun,
-        until: Moment,
-        source: ColdSource,
-    ) -> bool {
+    fn raise(&mut self, now: Moment, run: UpstreamRun, until: Moment, source: ColdSource) -> bool {
         match self.found.get(&run) {
             Some(found) if found.until >= until => false,
             _ => {
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -49,6 +49,8 @@
     pub cold_until: Moment,
     /// When its presence last changed.
     pub presence_since: Moment,
+    /// Version of its entry's row; 0 if unknown.
+    pub row_version: u64,
 }
 
 impl KnownUpstream {
@@ -116,6 +118,21 @@
 
     /// Adds or updates an entry; returns whether the entry or its presence changed.
     pub fn apply(&mut self, now: Moment, entry: UpstreamEntry) -> bool {
+        self.apply_row(now, 0, entry, false)
+    }
+
+    /// Adds or updates the entry in a row of a version.
+    ///
+    /// `is_cold_limited` says that the service limits the requests to its cold upstreams.
+    /// A newer row of the same run then says anew how cold the upstream is, as it may
+    /// become cold again.
+    pub fn apply_row(
+        &mut self,
+        now: Moment,
+        row_version: u64,
+        entry: UpstreamEntry,
+        is_cold_limited: bool,
+    ) -> bool {
         let previous = self.upstreams.get(&entry.id);
         let presence = match (entry.state, previous.map(|known| known.presence)) {
             (ReportedState::Ready, _) => Presence::Listed,
@@ -127,8 +144,14 @@
         let first_seen_at = previous_of_run.map_or(now, |known| known.first_seen_at);
         // An entry that is applied again does not make the upstream colder.
         let cold_until = now + entry.cold_duration;
-        let cold_until =
-            previous_of_run.map_or(cold_until, |known| known.cold_until.min(cold_until));
+        let cold_until = match previous_of_run {
+            None => cold_until,
+            Some(known) if !is_cold_limited => known.cold_until.min(cold_until),
+            // An end that has passed stays known.
+            Some(known) if row_version > known.row_version && cold_until > now => cold_until,
+            Some(known) if row_version > known.row_version => known.cold_until.min(now),
+            Some(known) => known.cold_until,
+        };
         let is_changed =
             previous.is_none_or(|known| known.entry != entry || known.presence != presence);
         let presence_since = previous
@@ -140,6 +163,7 @@
             first_seen_at,
             cold_until,
             presence_since,
+            row_version,
         };
         self.upstreams.insert(known.entry.id.clone(), known);
         is_changed
@@ -173,10 +197,22 @@
     /// Replaces the entries by all entries of the store; upstreams that are not among
     /// them become missing.
     pub fn replace(&mut self, now: Moment, entries: Vec<UpstreamEntry>) {
+        let rows = entries.into_iter().map(|entry| (0, entry));
+        self.replace_rows(now, rows.collect(), &|_| false);
+    }
+
+    /// Replaces the entries by all rows of the store; see [`Self::apply_row`].
+    pub fn replace_rows(
+        &mut self,
+        now: Moment,
+        rows: Vec<(u64, UpstreamEntry)>,
+        is_cold_limited: &dyn Fn(&ServiceName) -> bool,
+    ) {
         let mut absent: Vec<UpstreamId> = self.upstreams.keys().cloned().collect();
-        for entry in entries {
+        for (row_version, entry) in rows {
             absent.retain(|id| *id != entry.id);
-            self.apply(now, entry);
+            let is_limited = is_cold_limited(&entry.service);
+            self.apply_row(now, row_version, entry, is_limited);
         }
         for id in absent {
             self.record_missing(now, id.as_str(), None);
--- a/crates/front/src/adapter.rs
+++ b/crates/front/src/adapter.rs
@@ -70,6 +70,11 @@
     pub retry_ratio: f64,
     /// Additional retries that all hosts together may send in each window.
     pub retry_extra: f64,
+    /// Factor by which requests to a cold upstream may exceed the rate that it
+    /// tolerates; without it, and without the next one, there is no limit.
+    pub cold_over: Option<f64>,
+    /// Number of requests to a cold upstream beyond that in any one second.
+    pub cold_slack: Option<f64>,
 }
 
 /// The bounds in force, which a reload replaces.
@@ -83,6 +88,8 @@
             longest_hold: Duration::from_secs(10),
             retry_ratio: 0.2,
             retry_extra: 100.0,
+            cold_over: None,
+            cold_slack: None,
         }
     }
 }
@@ -108,6 +115,8 @@
     pub key: &'static str,
     /// Token that lets the next holder of keys take over their warm state.
     pub handover: &'static str,
+    /// How much longer the answering upstream stays cold, in milliseconds.
+    pub cold: &'static str,
 }
 
 /// Names of the store's tables.
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -3,10 +3,13 @@
 use crate::adapter::SharedBounds;
 use crate::answer::UpstreamAnswer;
 use crate::budgets::RetryBudgets;
+use crate::cold_budget::ColdControl;
+use crate::cold_dispatch::{ColdTarget, split_cold};
 use crate::exchange::Exchanger;
 use crate::metrics::FrontMetrics;
 use crate::request::{ClientRequest, ResolvedRequest};
 use crate::view::{FrontView, SharedView};
+use cold::HeldToken;
 use fleet::{KnownUpstream, Presence, UpstreamEntry};
 use grant::{KeyCounts, OwnedRange};
 use indexmap::IndexMap;
@@ -27,7 +30,7 @@
 const MOVE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Default time after which a refused client should retry, such as while upstreams or
 /// owners are missing.
-const RETRY_AFTER: Duration = Duration::from_millis(400);
+pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Fraction of the target latency within which the answer must be expected when a
 /// request is sent; the rest covers the error of the estimate.
 const TARGET_LATENCY_FRACTION: f64 = 0.9;
@@ -61,6 +64,7 @@
     pub domain: DomainName,
     pub bounds: SharedBounds,
     pub metrics: FrontMetrics,
+    pub cold: Arc<ColdControl>,
 }
 
 impl DispatchState {
@@ -70,7 +74,7 @@
             id: entry.id.clone(),
             slots: entry.slots,
             is_local: entry.domain == self.domain,
-            is_cold: now < upstream.cold_until,
+            is_cold: self.cold.is_cold(now, upstream),
             max_requests: self.max_requests(&entry.service),
         }
     }
@@ -117,6 +121,8 @@
 enum DispatchTarget {
     /// The upstream, and the expected time until its answer.
     Send(Box<UpstreamEntry>, Duration),
+    /// A cold upstream, for which the request needs a token.
+    Cold(Box<ColdTarget>),
     /// The key has no holder.
     Moving {
         /// Time for which the request may wait for one.
@@ -233,8 +239,15 @@
                 return Err(Cause::RequestTimeout.into());
             }
             self.check_quarantine(now, request)?;
-            let (entry, expected) = match self.find_target(now, request, history) {
-                DispatchTarget::Send(entry, expected) => (entry, expected),
+            let (entry, expected, token) = match self.find_target(now, request, history) {
+                DispatchTarget::Send(entry, expected) => (entry, expected, None),
+                DispatchTarget::Cold(target) => {
+                    let waiting = self.wait_for_token(request, &target, is_client_gone);
+                    let Some(token) = waiting.await? else {
+                        continue;
+                    };
+                    (Box::new(target.entry), target.expected, Some(token))
+                }
                 DispatchTarget::Refused(refusal) => return Err(refusal),
                 DispatchTarget::Moving {
                     remaining_wait,
@@ -250,6 +263,9 @@
             if history.sends == 0 {
                 state.budgets.record_first_attempt(&request.service);
             } else if !state.budgets.try_spend(&request.service) {
+                if let Some(token) = token {
+                    state.cold.put_back(token);
+                }
                 return Err(Cause::Overloaded.into());
             } else {
                 state.metrics.retries.inc();
@@ -257,7 +273,7 @@
             history.sends += 1;
             let is_repeat = history.tried_upstreams.contains(&entry.id);
             history.tried_upstreams.push(entry.id.clone());
-            let outcome = self.send(request, &entry, is_repeat, expected).await;
+            let outcome = self.send(request, &entry, is_repeat, expected, token).await;
             if outcome.is_ok() {
                 let now = state.clock.now();
                 let mut quarantine = state.quarantine.lock();
@@ -301,8 +317,10 @@
         entry: &UpstreamEntry,
         is_repeat: bool,
         expected: Duration,
+        token: Option<HeldToken>,
     ) -> Result<UpstreamAnswer, Cause> {
         let state = &self.state;
+        let mut permit = self.permit(request, entry, token);
         let now = state.clock.now();
         debug!(
             target: "send",
@@ -323,9 +341,10 @@
             report: None,
         };
         let max_requests = state.max_requests(&entry.service);
-        let exchanging = state
-            .exchanger
-            .exchange(entry, request, is_repeat, max_requests);
+        let exchanging =
+            state
+                .exchanger
+                .exchange(entry, request, is_repeat, max_requests, &mut permit);
         let exchanged = exchanging.await;
         guard.outcome = exchanged.outcome;
         guard.report = exchanged.report;
@@ -337,9 +356,14 @@
     /// connection.
     pub(crate) async fn probe(self, entry: UpstreamEntry) {
         let state = &self.state;
-        let Ok(stream) = h1::dial(entry.address, crate::pool::CONNECT_TIMEOUT).await else {
-            return;
+        let stream = match h1::dial(entry.address, crate::pool::CONNECT_TIMEOUT).await {
+            Ok(stream) => stream,
+            Err(error) => {
+                state.cold.record_unreachable(&entry, &error);
+                return;
+            }
         };
+        state.cold.record_reached(&entry);
         info!(target: "upstream", "upstream={} state=reachable", entry.id);
         let now = state.clock.now();
         let connection = h1::Connection::new(stream);
@@ -365,9 +389,10 @@
     /// refuses connections.
     async fn record_loss(&self, request: &ResolvedRequest, entry: &UpstreamEntry) {
         let probe = h1::dial(entry.address, crate::pool::CONNECT_TIMEOUT).await;
-        if !matches!(probe, Err(h1::DialError::Refused(_))) {
+        let Err(error @ h1::DialError::Refused(_)) = &probe else {
             return;
-        }
+        };
+        self.state.cold.record_unreachable(entry, error);
         let now = self.state.clock.now();
         info!(
             target: "suspect",
@@ -504,7 +529,18 @@
             }
             candidates = tried;
         }
-        self.select_target(now, request, &candidates, view)
+        // Requests without a key go to cold upstreams only if no other has room.
+        let (warm, cold) = split_cold(&self.state, candidates, &request.service);
+        if cold.is_empty() {
+            return self.select_target(now, request, &warm, view);
+        }
+        if !warm.is_empty() {
+            let target = self.select_target(now, request, &warm, view);
+            if matches!(target, DispatchTarget::Send(..)) {
+                return target;
+            }
+        }
+        self.select_target(now, request, &cold, view)
     }
 
     fn select_target(
@@ -520,7 +556,12 @@
         drop(selector);
         match selection {
             Selection::Send { id, expected } => match view.upstreams.get(&id) {
-                Some(upstream) => DispatchTarget::Send(Box::new(upstream.entry.clone()), expected),
+                Some(upstream) => {
+                    match ColdTarget::find(&self.state, now, upstream, expected, &limits) {
+                        Some(target) => DispatchTarget::Cold(Box::new(target)),
+                        None => DispatchTarget::Send(Box::new(upstream.entry.clone()), expected),
+                    }
+                }
                 None => DispatchTarget::Refused(
                     Refusal::new(Cause::NoOwner).with_retry_after(RETRY_AFTER),
                 ),
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -3,6 +3,7 @@
 use crate::adapter::HeaderNames;
 use crate::answer::UpstreamAnswer;
 use crate::body_memory::{BodyError, BodyMemory, HeldBody};
+use crate::cold_budget::SendPermit;
 use crate::pool::{ConnectionChoice, ConnectionPool, ReadyConnection};
 use crate::request::ResolvedRequest;
 use async_std::future::timeout;
@@ -65,6 +66,7 @@
         request: &ResolvedRequest,
         is_repeat: bool,
         max_idle: u32,
+        permit: &mut SendPermit<'_>,
     ) -> ExchangeResult {
         let now = self.clock.now();
         let remaining = request.deadline - now;
@@ -84,6 +86,7 @@
         } = match connecting.await {
             Ok(ready) => ready,
             Err(error) => {
+                permit.record_connection(Err(&error));
                 self.pool.clear(&entry.id);
                 warn!(
                     target: "upstream",
@@ -96,6 +99,9 @@
                 );
             }
         };
+        if is_new {
+            permit.record_connection(Ok(()));
+        }
         let remaining = request.deadline - self.clock.now();
         if remaining < MIN_REMAINING_TIME {
             self.pool.put(now, &entry.id, connection, None, max_idle);
@@ -103,6 +109,10 @@
         }
         let mut bytes = request.encode_head(&self.names, entry.id.as_str(), remaining);
         let blocks = request.body().blocks_behind(&mut bytes);
+        if !permit.use_for_write() {
+            self.pool.put(now, &entry.id, connection, None, max_idle);
+            return ExchangeResult::failed(Cause::UpstreamRefused, RequestOutcome::Abandoned);
+        }
         let exchange = async {
             connection.write(&bytes).await?;
             for block in blocks {
@@ -129,6 +139,7 @@
                 return ExchangeResult::failed(Cause::UpstreamTimeout, RequestOutcome::Abandoned);
             }
         };
+        permit.record_head(head.headers.get_number(self.names.cold));
         self.read_answer(entry, request, connection, head, max_idle)
             .await
     }
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -6,6 +6,7 @@
 use crate::body_memory::BodyMemory;
 use crate::budgets::RetryBudgets;
 use crate::clients::ClientServer;
+use crate::cold_budget::ColdControl;
 use crate::counted_store::CountedStore;
 use crate::dispatch::{DispatchState, Dispatcher};
 use crate::exchange::Exchanger;
@@ -167,6 +168,7 @@
     peers: Arc<PeerRegistry>,
     bounds: SharedBounds,
     random: Arc<RandomSource>,
+    cold: Arc<ColdControl>,
 }
 
 impl HostContext {
@@ -174,8 +176,17 @@
         let clock: Arc<dyn Clock> = Arc::new(BootClock);
         let metrics = FrontMetrics::register().map_err(StartFailure::Metrics)?;
         let random = Arc::new(RandomSource::new(&loaded.settings, kernel::wall_clock_ms()));
-        let bounds = ArcSwap::from_pointee(loaded.settings.bounds);
+        let bounds: SharedBounds = Arc::new(ArcSwap::from_pointee(loaded.settings.bounds));
         let store_calls = metrics.store_calls.clone();
+        let view = Arc::new(SharedView::default());
+        let peers = Arc::new(PeerRegistry::new(Arc::clone(&clock), Arc::clone(&random)));
+        let cold = ColdControl::new(
+            Arc::clone(&clock),
+            Arc::clone(&view),
+            Arc::clone(&bounds),
+            Arc::clone(&peers),
+            metrics.clone(),
+        );
         Ok(Self {
             settings: loaded.settings,
             store: Arc::new(CountedStore::new(loaded.platform.store(), store_calls)),
@@ -183,11 +194,12 @@
             metrics,
             scope: TaskScope::new(),
             is_stopping: Arc::new(AtomicBool::new(false)),
-            view: Arc::new(SharedView::default()),
-            peers: Arc::new(PeerRegistry::new(Arc::clone(&clock), Arc::clone(&random))),
-            bounds: Arc::new(bounds),
+            view,
+            peers,
+            bounds,
             random,
             clock,
+            cold: Arc::new(cold),
         })
     }
 
@@ -199,6 +211,7 @@
             Arc::clone(&self.view),
             self.metrics.clone(),
             timing,
+            Arc::clone(&self.cold),
         ))
     }
 
@@ -227,6 +240,7 @@
                 domain: self.settings.domain.clone(),
                 bounds: Arc::clone(&self.bounds),
                 metrics: self.metrics.clone(),
+                cold: Arc::clone(&self.cold),
             }),
         }
     }
@@ -480,6 +494,7 @@
             .pool
             .prune(now, |id| view.upstreams.contains_key(id));
         state.moves.lock().prune(now);
+        state.cold.sweep(now);
         let probes = state.selector.lock().drain_probes(now, MAX_SWEEP_PROBES);
         for id in probes {
             if let Some(known) = view.upstreams.get(&id) {
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -289,6 +289,8 @@
     /// Steps all ledgers, sends their grant calls and writes their maps.
     async fn lead(&mut self, now: Moment) {
         let term = self.row.as_ref().map_or(0, |row| row.term);
+        let cold = &self.context.dispatcher.state.cold;
+        cold.set_lease(now, term, self.lease.valid_until());
         self.announce_feed_state(term).await;
         self.announce_changes().await;
         if self.yield_lease(now).await {
@@ -489,6 +491,7 @@
                 capacity,
                 max_rate: mean_service_time.map(|time| capacity / time.as_secs_f64().max(1e-6)),
                 accepts_keys: known.is_listed(),
+                cold_rate: dispatch.cold.key_rate(now, known),
             });
         }
         candidates
--- a/crates/front/src/leader/lease.rs
+++ b/crates/front/src/leader/lease.rs
@@ -440,6 +440,7 @@
 
     fn release_lease(&mut self) {
         self.lease.release();
+        self.context.dispatcher.state.cold.stop_issuing();
         self.ended_terms.fetch_add(1, Ordering::SeqCst);
     }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -25,6 +25,8 @@
 mod client_connection;
 mod client_reader;
 mod clients;
+mod cold_budget;
+mod cold_dispatch;
 mod counted_store;
 mod dispatch;
 mod exchange;
@@ -44,6 +46,7 @@
 mod request;
 mod send_budget;
 mod view;
+mod wire_cold;
 mod wire_load;
 
 pub use adapter::{
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -4,6 +4,7 @@
 //! `postcard` encoding. A message of owners names each upstream once, as repeated names
 //! would be most of its bytes.
 
+use crate::wire_cold::{WireCold, WireTokens, WireWant};
 use crate::wire_load::{WireLoad, WireObservation};
 use fleet::{EntryChange, ReportedState, UpstreamEntry};
 use grant::{PreviousTerm, WireOwners};
@@ -21,7 +22,7 @@
 pub(crate) const MAX_SHEET_BYTES: usize = MAX_DATAGRAM_BYTES - (8 << 10);
 /// First byte of every message. A message with another format comes from a host that
 /// runs another version of the program during an upgrade.
-const FORMAT: u8 = 11;
+const FORMAT: u8 = 12;
 
 /// A message that could not be encoded or decoded.
 #[derive(Debug)]
@@ -99,6 +100,14 @@
     pub reaches_store: bool,
     /// The versions that the host knows.
     pub known: KnownVersions,
+    /// When the report was sent, on the host's clock, in microseconds.
+    pub sent_at_us: u64,
+    /// Whether it was sent before it was due, to ask for tokens.
+    pub is_early: bool,
+    /// Tokens for cold upstreams that requests wait for.
+    pub wanted: Vec<WireWant>,
+    /// Upstreams that the host found cold.
+    pub cold: Vec<WireCold>,
 }
 
 /// The versions of the store's rows that a host knows.
@@ -252,6 +261,12 @@
     pub standbys: Vec<String>,
     /// Addresses of all hosts, for a standby that may have to lead.
     pub host_addresses: Vec<SocketAddr>,
+    /// Time stamp of the report that this replies to; 0 for an announcement.
+    pub report_sent_at_us: u64,
+    /// Tokens that the report asked for.
+    pub tokens: Vec<WireTokens>,
+    /// Upstreams that a host found cold.
+    pub cold: Vec<WireCold>,
 }
 
 impl LeaderReply {
@@ -263,6 +278,9 @@
             owners: Vec::new(),
             fleet_loads: Vec::new(),
             host_addresses: Vec::new(),
+            report_sent_at_us: 0,
+            tokens: Vec::new(),
+            cold: Vec::new(),
             standbys: self.standbys.clone(),
             successor: self.successor.clone(),
             entries_base,
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -26,6 +26,14 @@
     pub is_leader: IntGauge,
     /// Version of the sheet in force.
     pub sheet_version: IntGauge,
+    /// Tokens for cold upstreams, by what became of them.
+    pub cold_tokens: IntCounterVec,
+    /// Requests that needed a token, by what became of them.
+    pub cold_requests: IntCounterVec,
+    /// Upstreams found cold other than by their entries, by source.
+    pub cold_found: IntCounterVec,
+    /// Upstreams that are cold now and limited.
+    pub cold_upstreams: IntGauge,
 }
 
 impl FrontMetrics {
@@ -49,6 +57,24 @@
             Opts::new("trestle_store_calls_total", "Calls to the platform's store"),
             &["call", "table"],
         )?;
+        let cold_tokens = IntCounterVec::new(
+            Opts::new("trestle_cold_tokens_total", "Tokens for cold upstreams"),
+            &["event"],
+        )?;
+        let cold_requests = IntCounterVec::new(
+            Opts::new(
+                "trestle_cold_requests_total",
+                "Requests that needed a token",
+            ),
+            &["event"],
+        )?;
+        let cold_found = IntCounterVec::new(
+            Opts::new("trestle_cold_found_total", "Upstreams found cold"),
+            &["source"],
+        )?;
+        registry.register(Box::new(cold_tokens.clone()))?;
+        registry.register(Box::new(cold_requests.clone()))?;
+        registry.register(Box::new(cold_found.clone()))?;
         registry.register(Box::new(store_calls.clone()))?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
@@ -70,6 +96,10 @@
             store_failures: counter("trestle_store_failures_total", "Failed store calls")?,
             is_leader: gauge("trestle_is_leader", "1 while this host grants keys")?,
             sheet_version: gauge("trestle_sheet_version", "Version of the sheet in force")?,
+            cold_tokens,
+            cold_requests,
+            cold_found,
+            cold_upstreams: gauge("trestle_cold_upstreams", "Cold upstreams with a limit")?,
             registry,
         })
     }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -171,6 +171,12 @@
         state.leader = leader;
     }
 
+    /// Has a report sent before it is due.
+    pub(crate) fn wake_reports(&self) {
+        // The channel holds one wake-up, which is enough.
+        let _is_sent = self.wake_sender.try_send(());
+    }
+
     /// Waits until a report is due: for `interval`, or until woken early, such as when
     /// the leader changes.
     pub(crate) async fn wait_for_report(&self, interval: Duration) {
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -1,6 +1,7 @@
 //! Local replica of the store's sheet, entries and owners.
 
 use crate::adapter::UserPlatform;
+use crate::cold_budget::ColdControl;
 use crate::message::{MAX_SHEET_BYTES, OwnerUpdate, WireSheet};
 use crate::metrics::FrontMetrics;
 use crate::view::{FrontView, SharedView};
@@ -48,6 +49,7 @@
     /// Whether the last call for the sheet failed.
     is_sheet_failing: AtomicBool,
     state: Mutex<ReplicaState>,
+    cold: Arc<ColdControl>,
 }
 
 #[derive(Debug)]
@@ -75,6 +77,7 @@
         view: Arc<SharedView>,
         metrics: FrontMetrics,
         timing: FleetTiming,
+        cold: Arc<ColdControl>,
     ) -> Self {
         let (refetch_sender, refetch_receiver) = bounded(1);
         Self {
@@ -85,6 +88,7 @@
             view,
             metrics,
             is_sheet_failing: AtomicBool::new(false),
+            cold,
             state: Mutex::new(ReplicaState {
                 fleet: FleetView::new(timing),
                 owner_versions: IndexMap::new(),
@@ -126,9 +130,14 @@
     fn apply_all_entries(&self, page: &RowPage) {
         let now = self.clock.now();
         let mut changes = self.decode_entry_changes(&page.rows);
-        let entries = changes.iter().filter_map(|change| change.entry.clone());
+        let entries = changes
+            .iter()
+            .filter_map(|change| Some((change.version, change.entry.clone()?)));
         let mut state = self.state.lock();
-        state.fleet.replace(now, entries.collect());
+        let is_cold_limited = |service: &ServiceName| self.cold.is_limited(service);
+        state
+            .fleet
+            .replace_rows(now, entries.collect(), &is_cold_limited);
         state.has_entries = true;
         state.entries_version = page.version;
         // The page holds every entry that exists; removals that came before it are
@@ -252,6 +261,12 @@
             if change.entry.is_none() {
                 change.grace = Some(state.fleet.missing_grace(now, change.id.as_str()));
             }
+            if let Some(entry) = &mut change.entry
+                && self.cold.is_limited(&entry.service)
+                && let Some(known) = state.fleet.get(change.id.as_str())
+            {
+                entry.cold_duration = known.cold_until - now;
+            }
         }
         newer
     }
@@ -341,7 +356,14 @@
                 state.fleet.record_missing(now, id.as_str(), *grace);
                 continue;
             };
-            if !state.fleet.apply(now, entry.clone()) {
+            let is_limited = self.cold.is_limited(&entry.service);
+            if is_limited {
+                self.cold.record_entry(now, entry);
+            }
+            if !state
+                .fleet
+                .apply_row(now, *version, entry.clone(), is_limited)
+            {
                 continue;
             }
             info!(
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -57,19 +57,32 @@
 impl ReportChannel {
     /// Sends reports periodically to the current leader.
     pub(crate) async fn send_reports(self) {
+        let clock = Arc::clone(&self.dispatcher.state.clock);
+        let mut last_full_at = clock.now();
         loop {
             let interval = if self.peers.is_standby() {
                 STANDBY_REPORT_INTERVAL
             } else {
                 REPORT_INTERVAL
             };
-            self.peers.wait_for_report(interval).await;
-            let report = self.report();
+            // Reports that ask for tokens don't put off those that are due.
+            let due_in = (last_full_at + interval) - clock.now();
+            self.peers.wait_for_report(due_in).await;
+            let now = clock.now();
+            let cold = &self.dispatcher.state.cold;
+            let mut report = self.report();
+            report.sent_at_us = now.as_micros();
+            report.wanted = cold.begin_report(now);
+            report.is_early = !report.wanted.is_empty() && now < last_full_at + interval;
+            if !report.is_early {
+                last_full_at = now;
+            }
             let Some(leader) = self.peers.leader() else {
                 continue;
             };
             if self.socket.local_addr().ok() == Some(leader) {
                 self.apply_report(&report, leader);
+                cold.accept(now, &cold.issue(&report));
                 self.set_fleet_loads(&self.peers.next_fleet_loads());
                 continue;
             }
@@ -168,6 +181,9 @@
             } else {
                 Vec::new()
             },
+            report_sent_at_us: 0,
+            tokens: Vec::new(),
+            cold: self.dispatcher.state.cold.known_cold(false),
         };
         let changes = self.replica.entry_changes_since(known.entries);
         let mut replies = vec![first];
@@ -216,6 +232,7 @@
             };
             observed.push((id.clone(), ObservedLoad::from(*load)));
         }
+        self.dispatcher.state.cold.apply_cold(&report.cold);
         self.peers.apply_report(report, &observed, from);
     }
 
@@ -242,6 +259,10 @@
                 entries: self.replica.entries_version(),
                 sheet: self.replica.sheet_version(),
             },
+            sent_at_us: 0,
+            is_early: false,
+            wanted: Vec::new(),
+            cold: state.cold.known_cold(true),
         }
     }
 
@@ -303,13 +324,21 @@
                     // looks for the leader in the store.
                     if let Some(term) = self.peers.leading_term() {
                         let is_for_standby = self.peers.standbys().contains(&report.host);
-                        let fleet_loads = self.peers.next_fleet_loads();
+                        let tokens = self.dispatcher.state.cold.issue(&report);
+                        let fleet_loads = if report.is_early {
+                            Vec::new()
+                        } else {
+                            self.peers.next_fleet_loads()
+                        };
                         let known = if self.has_send_room() {
                             report.known
                         } else {
                             self.told_versions()
                         };
-                        let replies = self.replies(term, None, &known, is_for_standby, fleet_loads);
+                        let mut replies =
+                            self.replies(term, None, &known, is_for_standby, fleet_loads);
+                        replies[0].report_sent_at_us = report.sent_at_us;
+                        replies[0].tokens = tokens;
                         for bytes in encode_all(replies) {
                             self.send(&bytes, peer).await;
                         }
@@ -319,6 +348,7 @@
                     if !self.peers.apply_reply(&reply, peer, &self.host) {
                         continue;
                     }
+                    self.dispatcher.state.cold.apply_reply(&reply);
                     self.apply_sheet(&reply);
                     self.apply_suspects(&reply.suspects);
                     self.dispatcher
--- a/crates/grant/src/balance.rs
+++ b/crates/grant/src/balance.rs
@@ -69,6 +69,8 @@
     pub max_rate: Option<f64>,
     /// Whether it may receive more keys; otherwise it only keeps those it has.
     pub accepts_keys: bool,
+    /// Requests a second up to which it is given keys, as it is cold or warming up.
+    pub cold_rate: Option<f64>,
 }
 
 impl OwnerCandidate {
@@ -82,6 +84,7 @@
             capacity,
             max_rate: None,
             accepts_keys: true,
+            cold_rate: None,
         }
     }
 }
@@ -98,6 +101,8 @@
     /// Share of the load that takes all of its capacity, if known.
     full: Option<f64>,
     current: f64,
+    /// Greatest share that it may have, as it is cold.
+    cold_limit: Option<f64>,
 }
 
 /// A key that needs most of an upstream, and the upstream that is to serve it.
@@ -140,12 +145,14 @@
                 full,
                 // Where the capacity is known, a hot key takes its part of it.
                 current: full.and(hot_share.copied()).unwrap_or_default(),
+                cold_limit: cold_share(candidate, loads),
             };
             (candidate.holder.clone(), row)
         });
         let mut table = Self {
             rows: rows.collect(),
         };
+        table.raise_cold_limits();
         for range in &map.ranges {
             let Some(owner) = &range.owner else {
                 continue;
@@ -161,6 +168,24 @@
         table
     }
 
+    /// Raises the limits of cold upstreams by what the others have no room for: every key
+    /// needs a holder.
+    fn raise_cold_limits(&mut self) {
+        let needed: f64 = self.rows.values().map(|row| row.fair).sum();
+        let room: f64 = self.rows.values().map(ShareRow::target).sum();
+        let cold_rows = self.rows.values().filter(|row| row.cold_limit.is_some());
+        let cold_fair: f64 = cold_rows.map(|row| row.fair).sum();
+        let missing = needed - room;
+        if missing <= 0.0 || cold_fair <= 0.0 {
+            return;
+        }
+        for row in self.rows.values_mut() {
+            if let Some(limit) = &mut row.cold_limit {
+                *limit += missing * row.fair / cold_fair;
+            }
+        }
+    }
+
     /// Adds a share of all load to an upstream; ignores upstreams that are not in the
     /// table.
     fn add(&mut self, holder: &Holder, share: f64) {
@@ -177,7 +202,7 @@
 
     /// Returns the upstream that is furthest below its fair share.
     fn furthest_below_fair_share(&self) -> Option<(&Holder, &ShareRow)> {
-        let distance = |row: &ShareRow| row.fair - row.current;
+        let distance = |row: &ShareRow| row.limited(row.fair) - row.current;
         let rows = self.rows.iter();
         rows.max_by(|(_, a), (_, b)| distance(a).total_cmp(&distance(b)))
     }
@@ -194,14 +219,19 @@
     /// Returns the share above which the upstream gives keys away.
     fn give_limit(&self) -> f64 {
         let by_capacity = self.full.map_or(0.0, |full| full * MAX_UTILIZATION);
-        by_capacity.max(self.fair * OVERLOAD_RATIO)
+        self.limited(by_capacity.max(self.fair * OVERLOAD_RATIO))
     }
 
     /// Returns the share up to which the upstream takes keys, and to which it gives
     /// keys away.
     fn target(&self) -> f64 {
         let by_capacity = self.full.map_or(0.0, |full| full * TARGET_UTILIZATION);
-        by_capacity.max(self.fair)
+        self.limited(by_capacity.max(self.fair))
+    }
+
+    /// Returns a share, or what a cold upstream may have instead.
+    fn limited(&self, share: f64) -> f64 {
+        self.cold_limit.map_or(share, |limit| share.min(limit))
     }
 
     fn headroom(&self) -> f64 {
@@ -219,7 +249,7 @@
             Some(_) => KNOWN_IDLE_RATIO,
             None => IDLE_RATIO,
         };
-        self.current < self.fair * ratio
+        self.current < self.limited(self.fair) * ratio
     }
 }
 
@@ -229,9 +259,21 @@
     Some(candidate.max_rate? / rate)
 }
 
+/// Returns the share of all load up to which a cold upstream is given keys. Without a
+/// known load it is given none.
+fn cold_share(candidate: &OwnerCandidate, loads: &KeyLoads) -> Option<f64> {
+    let cold_rate = candidate.cold_rate?;
+    let rate = loads.rate().filter(|rate| *rate > 0.0);
+    Some(rate.map_or(0.0, |rate| cold_rate / rate))
+}
+
 /// Finds keys that need most of an upstream and chooses the upstreams to serve them.
 fn assign_hot_keys(candidates: &[OwnerCandidate], map: &OwnerMap, loads: &KeyLoads) -> Vec<HotKey> {
-    let receivers: Vec<&OwnerCandidate> = candidates.iter().filter(|c| c.accepts_keys).collect();
+    // A cold upstream gets the busiest keys last.
+    let receivers: Vec<&OwnerCandidate> = candidates
+        .iter()
+        .filter(|candidate| candidate.accepts_keys && candidate.cold_rate.is_none())
+        .collect();
     let mut strongest = receivers.clone();
     strongest.sort_by(|a, b| b.capacity.total_cmp(&a.capacity));
     let max_keys = (receivers.len() as f64 * MAX_HOT_UPSTREAM_FRACTION) as usize;
@@ -502,11 +544,11 @@
         let wanted_share = if is_overloaded {
             (from.current - from.target()).min(to.headroom())
         } else if idle.is_some() && from.current > from.fair {
-            (from.current - from.fair).min(to.fair - to.current)
+            (from.current - from.fair).min(to.limited(to.fair) - to.current)
         } else {
             continue;
         };
-        let min_share = to.fair * MIN_MOVE_FRACTION;
+        let min_share = to.limited(to.fair) * MIN_MOVE_FRACTION;
         let may_split = may_split(map, table.rows.len());
         let piece = find_piece(
             map,
--- a/crates/sheet/src/lib.rs
+++ b/crates/sheet/src/lib.rs
@@ -35,5 +35,5 @@
     ServicePlan, Sheet,
 };
 pub use routes::{
-    ClientLimits, RequestKind, RouteRule, RouteSheet, RoutedService, WeightedService,
+    ClientLimits, ColdStart, RequestKind, RouteRule, RouteSheet, RoutedService, WeightedService,
 };
--- a/crates/sheet/src/routes.rs
+++ b/crates/sheet/src/routes.rs
@@ -108,4 +108,15 @@
     pub warm_time: Duration,
     /// Maximum number of connections that one upstream accepts from all hosts.
     pub max_connections: u32,
+    /// What a cold upstream tolerates, if that is limited.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// How upstreams of a service behave after a start during traffic.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// Requests a second that a cold upstream tolerates.
+    pub requests_per_second: f64,
+    /// Time for which an upstream is cold.
+    pub duration: Duration,
 }
