Test the state of cold upstreams, and count the room of warm ones in full

The limits of cold upstreams were raised by what the others had no room for, and that room was taken to end at the fair share: without known capacities a cold upstream got 26.7 requests a second of 33.3 in place of 3.8. It now counts up to the share at which an upstream gives keys away; the new test of the balance shows it.

--- a/crates/fleet/tests/presence.rs
+++ b/crates/fleet/tests/presence.rs
@@ -119,3 +119,29 @@
     ));
     assert_eq!(view.get("i-2").expect("kept").presence, Presence::Listed);
 }
+
+/// Guards against a cold upstream that passes for warm, because its entry of the same run
+/// said so before, and against rows that are read again and make it colder.
+#[test]
+fn apply_row_newer_makes_colder_only_where_that_is_limited() {
+    let cold_for = |ms| UpstreamEntry {
+        cold_duration: Duration::from_millis(ms),
+        ..entry("i-1")
+    };
+    for is_limited in [true, false] {
+        let mut view = FleetView::new(FleetTiming::default());
+        let cold_until = |view: &FleetView| view.get("i-1").expect("known").cold_until;
+        view.apply_row(START, 5, cold_for(0), is_limited);
+        view.apply_row(after(1_000), 6, cold_for(3_000), is_limited);
+        let raised = if is_limited { after(4_000) } else { START };
+        assert_eq!(cold_until(&view), raised);
+        // The same row once more, from a list of the table.
+        view.replace_rows(after(2_000), vec![(6, cold_for(3_000))], &|_| is_limited);
+        assert_eq!(cold_until(&view), raised);
+        view.apply_row(after(2_500), 7, cold_for(100), is_limited);
+        let lowered = if is_limited { after(2_600) } else { START };
+        assert_eq!(cold_until(&view), lowered);
+        view.apply_row(after(3_000), 8, cold_for(0), is_limited);
+        assert_eq!(cold_until(&view), lowered);
+    }
+}
--- a/crates/grant/src/balance.rs
+++ b/crates/grant/src/balance.rs
@@ -172,7 +172,7 @@
     /// needs a holder.
     fn raise_cold_limits(&mut self) {
         let needed: f64 = self.rows.values().map(|row| row.fair).sum();
-        let room: f64 = self.rows.values().map(ShareRow::target).sum();
+        let room: f64 = self.rows.values().map(ShareRow::give_limit).sum();
         let cold_rows = self.rows.values().filter(|row| row.cold_limit.is_some());
         let cold_fair: f64 = cold_rows.map(|row| row.fair).sum();
         let missing = needed - room;
--- a/crates/grant/tests/balance.rs
+++ b/crates/grant/tests/balance.rs
@@ -374,3 +374,49 @@
     );
     assert!(!lease.is_valid(ends_at));
 }
+
+/// Guards against a cold upstream that is given more requests than it tolerates, or the
+/// busiest keys, and against one that stays without keys once it is warm.
+#[test]
+fn step_cold_upstream_gets_keys_step_by_step() {
+    const RATE: f32 = 200.0;
+    let mut upstreams = candidates(&[1.0; 5]);
+    let mut loads = KeyLoads::default();
+    add_requests(&mut loads, (0, u16::MAX), RATE * 0.8);
+    add_requests(&mut loads, (7, 7), RATE * 0.2);
+    loads.decay(Duration::ZERO, Duration::from_secs(1));
+    let mut driver = LedgerDriver::new();
+    driver.run(&upstreams, &loads, Duration::from_secs(2));
+    let mut cold = OwnerCandidate::new("i-cold", 1, 4.0);
+    cold.cold_rate = Some(3.8);
+    upstreams.push(cold);
+    let fair_rate = f64::from(RATE) / 6.0;
+    driver.run(&upstreams, &loads, Duration::from_secs(3));
+    let while_cold = driver.load_ratios(&upstreams, &loads)["i-cold"] * fair_rate;
+    assert!((2.0..=3.8 * 1.1).contains(&while_cold), "{while_cold}");
+    let holder = driver.ledger.map().range_of(7).expect("complete");
+    assert_ne!(holder.owner.as_ref(), Some(&upstreams[5].holder));
+    upstreams[5].cold_rate = Some(15.2);
+    driver.run(&upstreams, &loads, Duration::from_secs(1));
+    let warming = driver.load_ratios(&upstreams, &loads)["i-cold"] * fair_rate;
+    assert!((while_cold..=15.2 * 1.1).contains(&warming), "{warming}");
+    upstreams[5].cold_rate = None;
+    driver.run(&upstreams, &loads, Duration::from_secs(3));
+    let warm = driver.load_ratios(&upstreams, &loads)["i-cold"] * fair_rate;
+    assert!(warm > 15.0, "{warm}");
+}
+
+/// Guards against one upstream that is given nearly all keys where all of them are cold.
+#[test]
+fn step_all_cold_upstreams_share_the_keys() {
+    let mut upstreams = candidates(&[1.0; 6]);
+    for upstream in &mut upstreams {
+        upstream.cold_rate = Some(3.8);
+    }
+    let loads = even_loads(200.0);
+    let mut driver = LedgerDriver::new();
+    driver.run(&upstreams, &loads, Duration::from_secs(3));
+    let load_ratios = driver.load_ratios(&upstreams, &loads);
+    let is_even = load_ratios.values().all(|ratio| (0.7..1.4).contains(ratio));
+    assert!(is_even, "{load_ratios:?}");
+}
