Ask upstreams that returned how much longer they stay cold

An upstream that could not be reached may be a new run whose entry has not arrived. The leader asks its health path once for each return, with a token, and takes Cold-Ms from every response.

--- a/crates/cold/src/states.rs
+++ b/crates/cold/src/states.rs
@@ -46,6 +46,7 @@
     source: ColdSource,
     found_at: Moment,
     until: Moment,
+    is_asked: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -123,20 +124,20 @@
     }
 
     fn raise(&mut self, now: Moment, run: UpstreamRun, until: Moment, source: ColdSource) -> bool {
-        match self.found.get(&run) {
-            Some(found) if found.until >= until => false,
-            _ => {
-                self.found.insert(
-                    run,
-                    FoundCold {
-                        source,
-                        found_at: now,
-                        until,
-                    },
-                );
-                true
-            }
+        let previous = self.found.get(&run);
+        if previous.is_some_and(|found| found.until >= until) {
+            return false;
         }
+        // Each message that tells of the same cold start raises it a little.
+        let is_asked = previous.is_some_and(|found| found.is_asked && now < found.until);
+        let found = FoundCold {
+            source,
+            found_at: now,
+            until,
+            is_asked,
+        };
+        self.found.insert(run, found);
+        true
     }
 
     /// Returns until when a run is cold, if it was found to be.
@@ -158,6 +159,23 @@
         remaining
     }
 
+    /// Returns the cold runs that did not say themselves that they are, and have not been
+    /// asked.
+    pub fn unasked(&self, now: Moment) -> Vec<UpstreamRun> {
+        let found = self.found.iter();
+        let unasked = found.filter(|(_, found)| {
+            !found.is_asked && now < found.until && found.source != ColdSource::Response
+        });
+        unasked.map(|(run, _)| *run).collect()
+    }
+
+    /// Records that a run has been asked how cold it is.
+    pub fn record_asked(&mut self, run: UpstreamRun) {
+        if let Some(found) = self.found.get_mut(&run) {
+            found.is_asked = true;
+        }
+    }
+
     /// Forgets runs that have been warm for `max_age`, and upstreams that are not known
     /// any more.
     pub fn prune(&mut self, now: Moment, max_age: Duration, is_known: impl Fn(u32) -> bool) {
--- a/crates/front/src/cold_budget.rs
+++ b/crates/front/src/cold_budget.rs
@@ -2,6 +2,7 @@
 //! need, and the leader's issue of tokens.
 
 use crate::adapter::SharedBounds;
+use crate::cold_health::HealthCheck;
 use crate::message::{HostReport, LeaderReply};
 use crate::metrics::FrontMetrics;
 use crate::peers::PeerRegistry;
@@ -35,6 +36,10 @@
 /// wrong value must not keep an upstream from work for long.
 const MAX_RESPONSE_STARTS: u32 = 10;
 
+/// Name under which the leader asks itself for tokens of health checks; hosts have longer
+/// ones.
+const HEALTH_CHECKER: &str = "";
+
 /// What a host knows of cold upstreams, its tokens, and while it leads, their issue.
 #[derive(Debug)]
 pub(crate) struct ColdControl {
@@ -361,6 +366,51 @@
         self.issuer.lock().stop();
     }
 
+    /// Returns an upstream that the leader should ask how cold it is, once for each return,
+    /// as far as its budget allows.
+    pub(crate) fn next_health_check(&self, now: Moment) -> Option<HealthCheck> {
+        if !self.issuer.lock().is_issuing(now) {
+            return None;
+        }
+        let unasked = self.states.lock().unasked(now);
+        let view = self.view.load();
+        unasked
+            .into_iter()
+            .find_map(|run| self.health_check(now, run, &view))
+    }
+
+    fn health_check(&self, now: Moment, run: UpstreamRun, view: &FrontView) -> Option<HealthCheck> {
+        let id = view.upstream_hashes.get(&run.upstream)?;
+        let entry = &view.upstreams.get(id)?.entry;
+        let service = view.sheet.as_ref()?.services.get(&entry.service)?;
+        let path = service.health_path.clone()?;
+        if upstream_run(entry) != run {
+            return None;
+        }
+        // Its answer decides on the other requests, so that it goes before them.
+        let want = TokenWant {
+            run,
+            rank: 0,
+            count: 1,
+        };
+        let limit_of = |run| self.limit_of_run(view, run);
+        let grants = self
+            .issuer
+            .lock()
+            .issue(now, HEALTH_CHECKER, &[want], limit_of);
+        let mut pool = self.pool.lock();
+        pool.record_report(now);
+        pool.accept(now, now, &grants);
+        let token = pool.reserve(now, run, 0)?;
+        drop(pool);
+        self.states.lock().record_asked(run);
+        Some(HealthCheck {
+            entry: entry.clone(),
+            path,
+            token,
+        })
+    }
+
     /// Removes expired state.
     pub(crate) fn sweep(&self, now: Moment) {
         let expired = self.pool.lock().drop_expired(now);
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -111,7 +111,7 @@
         let blocks = request.body().blocks_behind(&mut bytes);
         if !permit.use_for_write() {
             self.pool.put(now, &entry.id, connection, None, max_idle);
-            return ExchangeResult::failed(Cause::UpstreamRefused, RequestOutcome::Abandoned);
+            return ExchangeResult::failed(Cause::UpstreamRefused, RequestOutcome::Withheld);
         }
         let exchange = async {
             connection.write(&bytes).await?;
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -495,6 +495,12 @@
             .prune(now, |id| view.upstreams.contains_key(id));
         state.moves.lock().prune(now);
         state.cold.sweep(now);
+        for _ in 0..MAX_SWEEP_PROBES {
+            let Some(check) = state.cold.next_health_check(now) else {
+                break;
+            };
+            scope.spawn(dispatcher.clone().check_health(check));
+        }
         let probes = state.selector.lock().drain_probes(now, MAX_SWEEP_PROBES);
         for id in probes {
             if let Some(known) = view.upstreams.get(&id) {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -27,6 +27,7 @@
 mod clients;
 mod cold_budget;
 mod cold_dispatch;
+mod cold_health;
 mod counted_store;
 mod dispatch;
 mod exchange;
--- a/crates/place/src/state.rs
+++ b/crates/place/src/state.rs
@@ -115,6 +115,8 @@
     Reset,
     /// The host abandoned the request.
     Abandoned,
+    /// The host did not write the request, which says nothing about the upstream.
+    Withheld,
 }
 
 /// One upstream's load as this host knows it.
@@ -318,6 +320,9 @@
         work: MeanWork,
     ) -> Option<f64> {
         self.own_requests = self.own_requests.saturating_sub(1);
+        if outcome == RequestOutcome::Withheld {
+            return None;
+        }
         self.observed.requests += 1;
         if let Some(report) = report {
             let total = report.occupancy();
@@ -350,7 +355,7 @@
                 self.backoff_until = now + self.backoff;
                 self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
             }
-            RequestOutcome::Misplaced | RequestOutcome::Abandoned => {}
+            RequestOutcome::Misplaced | RequestOutcome::Abandoned | RequestOutcome::Withheld => {}
         }
         None
     }
--- a/crates/sheet/src/routes.rs
+++ b/crates/sheet/src/routes.rs
@@ -110,6 +110,8 @@
     pub max_connections: u32,
     /// What a cold upstream tolerates, if that is limited.
     pub cold_start: Option<ColdStart>,
+    /// Path at which an upstream tells how much longer it stays cold.
+    pub health_path: Option<String>,
 }
 
 /// How upstreams of a service behave after a start during traffic.
