--- a/crates/front/src/cold_budget.rs
+++ b/crates/front/src/cold_budget.rs
@@ -432,7 +432,9 @@
             });
         let cold = view.upstreams.values();
         let cold = cold.filter(|known| self.cold_limit(now, known).is_some());
-        self.metrics.cold_upstreams.set(cold.count() as i64);
+        self.metrics
+            .cold_upstreams
+            .set(i64::from(cold.count() as u32));
     }
 }
 
