Take upstreams for silent only after several failures in a row

One connection that timed out, followed by one that worked half a second or a minute later, made an upstream cold for all hosts for cold_start_s, though hosts short of processor time see such time-outs at warm upstreams. It now takes a refusal or three time-outs, a return within 10 s, and no entry in between.

--- a/crates/cold/src/states.rs
+++ b/crates/cold/src/states.rs
@@ -5,11 +5,18 @@
 use kernel::Moment;
 use std::time::Duration;
 
-/// Time without a connection after which an upstream that did not answer counts as
-/// silent: a single connection that timed out may be due to lost packets.
+/// Time between the first failed connection and the return after which an upstream that
+/// did not answer counts as silent.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
-/// Time after an upstream's return from which an entry of the same run says how cold it
-/// is. An entry that was written before it fell silent arrives earlier.
+/// Number of connections in a row that must have timed out for that. Single ones time out
+/// by lost packets, and at hosts that are short of processor time.
+const MIN_TIMEOUTS: u32 = 3;
+/// Time after which a failed connection says nothing about the next one. A host that has
+/// an upstream in backoff tries it again within 4 s.
+const MAX_FAILURE_GAP: Duration = Duration::from_secs(10);
+/// Time after an upstream's return, or after the last failed connection, from which an
+/// entry of the same run says how cold it is. An entry that was written before it fell
+/// silent arrives earlier.
 const ENTRY_SETTLE: Duration = Duration::from_secs(1);
 
 /// How an upstream was found to be cold.
@@ -38,7 +45,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ColdStates {
     found: IndexMap<UpstreamRun, FoundCold>,
-    silent: IndexMap<u32, SilentSince>,
+    silent: IndexMap<u32, SilentUpstream>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -50,19 +57,32 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct SilentSince {
+struct SilentUpstream {
+    /// The run that is known from its entry.
+    run: u32,
     since: Moment,
+    last_failed_at: Moment,
+    failures: u32,
     /// Whether it refused a connection, which shows that its process had ended.
     has_refused: bool,
 }
 
 impl ColdStates {
     /// Records that no connection to an upstream could be made.
-    pub fn record_unreachable(&mut self, now: Moment, upstream: u32, is_refused: bool) {
-        let silent = self.silent.entry(upstream).or_insert(SilentSince {
+    pub fn record_unreachable(&mut self, now: Moment, run: UpstreamRun, is_refused: bool) {
+        let first = SilentUpstream {
+            run: run.run,
             since: now,
+            last_failed_at: now,
+            failures: 0,
             has_refused: false,
-        });
+        };
+        let silent = self.silent.entry(run.upstream).or_insert(first);
+        if silent.run != run.run || now - silent.last_failed_at > MAX_FAILURE_GAP {
+            *silent = first;
+        }
+        silent.last_failed_at = now;
+        silent.failures += 1;
         silent.has_refused |= is_refused;
     }
 
@@ -77,7 +97,9 @@
         let Some(silent) = self.silent.swap_remove(&run.upstream) else {
             return false;
         };
-        if !silent.has_refused && now - silent.since < MIN_SILENCE {
+        let was_silent = silent.failures >= MIN_TIMEOUTS && now - silent.since >= MIN_SILENCE;
+        let is_recent = now - silent.last_failed_at <= MAX_FAILURE_GAP;
+        if !is_recent || (!silent.has_refused && !was_silent) {
             return false;
         }
         self.raise(now, run, now + start, ColdSource::Return);
@@ -115,6 +137,12 @@
 
     /// Records that a newer entry of a run has arrived, which says how cold it is.
     pub fn record_entry(&mut self, now: Moment, run: UpstreamRun) {
+        let is_told = self.silent.get(&run.upstream).is_some_and(|silent| {
+            silent.run != run.run || now - silent.last_failed_at >= ENTRY_SETTLE
+        });
+        if is_told {
+            self.silent.swap_remove(&run.upstream);
+        }
         let is_assumed = self.found.get(&run).is_some_and(|found| {
             found.source == ColdSource::Return && now - found.found_at >= ENTRY_SETTLE
         });
--- a/crates/front/src/cold_budget.rs
+++ b/crates/front/src/cold_budget.rs
@@ -163,9 +163,7 @@
         let is_refused = matches!(error, DialError::Refused(_));
         let run = upstream_run(entry);
         let now = self.clock.now();
-        self.states
-            .lock()
-            .record_unreachable(now, run.upstream, is_refused);
+        self.states.lock().record_unreachable(now, run, is_refused);
     }
 
     /// Records that a new connection to an upstream could be made. One that could not be
