--- a/crates/front/src/adapter.rs
+++ b/crates/front/src/adapter.rs
@@ -73,6 +73,11 @@
     /// Time within which an evacuated failure domain must stop receiving requests;
     /// orders to evacuate have no effect without it.
     pub evacuate: Option<Duration>,
+    /// Factor by which requests to a cold upstream may exceed the rate that it
+    /// tolerates; without it, and without the next one, there is no limit.
+    pub cold_over: Option<f64>,
+    /// Number of requests to a cold upstream beyond that in any one second.
+    pub cold_slack: Option<f64>,
 }
 
 /// The bounds in force, which a reload replaces.
@@ -87,6 +92,8 @@
             retry_ratio: 0.2,
             retry_extra: 100.0,
             evacuate: None,
+            cold_over: None,
+            cold_slack: None,
         }
     }
 }
@@ -112,6 +119,8 @@
     pub key: &'static str,
     /// Token that lets the next holder of keys take over their warm state.
     pub handover: &'static str,
+    /// How much longer the answering upstream stays cold, in milliseconds.
+    pub cold: &'static str,
 }
 
 /// Names of the store's tables.
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -302,6 +302,8 @@
     /// Steps all ledgers, sends their grant calls and writes their maps.
     async fn lead(&mut self, now: Moment) {
         let term = self.row.as_ref().map_or(0, |row| row.term);
+        let cold = &self.context.dispatcher.state.cold;
+        cold.set_lease(now, term, self.lease.valid_until());
         self.announce_feed_state(term).await;
         self.announce_changes().await;
         self.log_capacities(now);
@@ -517,6 +519,7 @@
                 accepts_keys: known.is_listed() && gives_up_by.is_none(),
                 gives_up_by,
                 relief: pace.map(|pace| pace.relief),
+                cold_rate: dispatch.cold.key_rate(now, known),
             });
         }
         candidates
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -5,6 +5,7 @@
 //! would be most of its bytes.
 
 use crate::replica::WireOrders;
+use crate::wire_cold::{WireCold, WireTokens, WireWant};
 use crate::wire_load::{WireLoad, WireObservation};
 use fleet::{EntryChange, ReportedState, UpstreamEntry};
 use grant::{PreviousTerm, WireOwners};
@@ -100,6 +101,14 @@
     pub reaches_store: bool,
     /// The versions that the host knows.
     pub known: KnownVersions,
+    /// When the report was sent, on the host's clock, in microseconds.
+    pub sent_at_us: u64,
+    /// Whether it was sent before it was due, to ask for tokens.
+    pub is_early: bool,
+    /// Tokens for cold upstreams that requests wait for.
+    pub wanted: Vec<WireWant>,
+    /// Upstreams that the host found cold.
+    pub cold: Vec<WireCold>,
 }
 
 /// The versions of the store's rows that a host knows.
@@ -270,6 +279,12 @@
     pub orders: Option<WireOrders>,
     /// Time since `fleet_loads` were computed, in milliseconds.
     pub fleet_loads_age_ms: u32,
+    /// Time stamp of the report that this replies to; 0 for an announcement.
+    pub report_sent_at_us: u64,
+    /// Tokens that the report asked for.
+    pub tokens: Vec<WireTokens>,
+    /// Upstreams that a host found cold.
+    pub cold: Vec<WireCold>,
 }
 
 impl LeaderReply {
@@ -282,6 +297,9 @@
             fleet_loads: Vec::new(),
             host_addresses: Vec::new(),
             orders: None,
+            report_sent_at_us: 0,
+            tokens: Vec::new(),
+            cold: Vec::new(),
             standbys: self.standbys.clone(),
             successor: self.successor.clone(),
             entries_base,
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -39,6 +39,14 @@
     /// Age of the loads of all hosts when they arrive from the leader, since it computed
     /// them.
     pub fleet_load_age: Histogram,
+    /// Tokens for cold upstreams, by what became of them.
+    pub cold_tokens: IntCounterVec,
+    /// Requests that needed a token, by what became of them.
+    pub cold_requests: IntCounterVec,
+    /// Upstreams found cold other than by their entries, by source.
+    pub cold_found: IntCounterVec,
+    /// Upstreams that are cold now and limited.
+    pub cold_upstreams: IntGauge,
 }
 
 impl FrontMetrics {
@@ -78,6 +86,24 @@
             .buckets(LATENCY_BUCKETS.to_vec()),
         )?;
         registry.register(Box::new(fleet_load_age.clone()))?;
+        let cold_tokens = IntCounterVec::new(
+            Opts::new("trestle_cold_tokens_total", "Tokens for cold upstreams"),
+            &["event"],
+        )?;
+        let cold_requests = IntCounterVec::new(
+            Opts::new(
+                "trestle_cold_requests_total",
+                "Requests that needed a token",
+            ),
+            &["event"],
+        )?;
+        let cold_found = IntCounterVec::new(
+            Opts::new("trestle_cold_found_total", "Upstreams found cold"),
+            &["source"],
+        )?;
+        registry.register(Box::new(cold_tokens.clone()))?;
+        registry.register(Box::new(cold_requests.clone()))?;
+        registry.register(Box::new(cold_found.clone()))?;
         registry.register(Box::new(store_calls.clone()))?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
@@ -111,6 +137,10 @@
             )?,
             relieved_holders: gauge("trestle_relieved_holders", "Holders with a long queue")?,
             fleet_load_age,
+            cold_tokens,
+            cold_requests,
+            cold_found,
+            cold_upstreams: gauge("trestle_cold_upstreams", "Cold upstreams with a limit")?,
             registry,
         })
     }
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -57,19 +57,32 @@
 impl ReportChannel {
     /// Sends reports periodically to the current leader.
     pub(crate) async fn send_reports(self) {
+        let clock = Arc::clone(&self.dispatcher.state.clock);
+        let mut last_full_at = clock.now();
         loop {
             let interval = if self.peers.is_standby() {
                 STANDBY_REPORT_INTERVAL
             } else {
                 REPORT_INTERVAL
             };
-            self.peers.wait_for_report(interval).await;
-            let report = self.report();
+            // Reports that ask for tokens don't put off those that are due.
+            let due_in = (last_full_at + interval) - clock.now();
+            self.peers.wait_for_report(due_in).await;
+            let now = clock.now();
+            let cold = &self.dispatcher.state.cold;
+            let mut report = self.report();
+            report.sent_at_us = now.as_micros();
+            report.wanted = cold.begin_report(now);
+            report.is_early = !report.wanted.is_empty() && now < last_full_at + interval;
+            if !report.is_early {
+                last_full_at = now;
+            }
             let Some(leader) = self.peers.leader() else {
                 continue;
             };
             if self.socket.local_addr().ok() == Some(leader) {
                 self.apply_report(&report, leader);
+                cold.accept(now, &cold.issue(&report));
                 self.set_fleet_loads(&self.peers.next_fleet_loads().loads);
                 continue;
             }
@@ -171,6 +184,9 @@
             },
             orders: self.replica.orders_since(known.orders),
             fleet_loads_age_ms: load_list.age.as_millis() as u32,
+            report_sent_at_us: 0,
+            tokens: Vec::new(),
+            cold: self.dispatcher.state.cold.known_cold(false),
         };
         let changes = self.replica.entry_changes_since(known.entries);
         let mut replies = vec![first];
@@ -229,6 +245,7 @@
             };
             observed.push((id.clone(), ObservedLoad::from(*load)));
         }
+        self.dispatcher.state.cold.apply_cold(&report.cold);
         self.peers.apply_report(report, &observed, from);
     }
 
@@ -256,6 +273,10 @@
                 sheet: self.replica.sheet_version(),
                 orders: self.replica.orders_version(),
             },
+            sent_at_us: 0,
+            is_early: false,
+            wanted: Vec::new(),
+            cold: state.cold.known_cold(true),
         }
     }
 
@@ -317,13 +338,21 @@
                     // looks for the leader in the store.
                     if let Some(term) = self.peers.leading_term() {
                         let is_for_standby = self.peers.standbys().contains(&report.host);
-                        let load_list = self.peers.next_fleet_loads();
+                        let tokens = self.dispatcher.state.cold.issue(&report);
+                        let load_list = if report.is_early {
+                            LoadList::default()
+                        } else {
+                            self.peers.next_fleet_loads()
+                        };
                         let known = if self.has_send_room() {
                             report.known
                         } else {
                             self.told_versions().except_orders(&report.known)
                         };
-                        let replies = self.replies(term, None, &known, is_for_standby, load_list);
+                        let mut replies =
+                            self.replies(term, None, &known, is_for_standby, load_list);
+                        replies[0].report_sent_at_us = report.sent_at_us;
+                        replies[0].tokens = tokens;
                         for bytes in encode_all(replies) {
                             self.send(&bytes, peer).await;
                         }
@@ -336,6 +365,7 @@
                     if let Some(orders) = &reply.orders {
                         self.replica.apply_orders(orders);
                     }
+                    self.dispatcher.state.cold.apply_reply(&reply);
                     self.apply_sheet(&reply);
                     self.apply_suspects(&reply.suspects);
                     self.dispatcher
