Pace the evacuations of several domains separately

The time left was that of the earliest order in force, so the ranges of a domain that was ordered to be evacuated later moved all at once. Each time by which ranges are to be moved has its own pace now.

--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -323,9 +323,9 @@
                 .entry(service.clone())
                 .or_insert_with(|| GrantLedger::new(self.timing, term));
             let step = ledger.step(now, &candidates, &loads);
-            let progress = ledger.evacuation_progress(now, &candidates);
+            let counts = ledger.evacuation_counts(&candidates);
             self.evacuation_log
-                .record(now, &service, progress, &self.context.metrics);
+                .record(now, &service, counts, &self.context.metrics);
             for call in step.calls {
                 calls.push((service.clone(), call));
             }
--- a/crates/front/src/leader/evacuation.rs
+++ b/crates/front/src/leader/evacuation.rs
@@ -2,7 +2,6 @@
 
 use super::LeaderLoop;
 use crate::metrics::FrontMetrics;
-use evac::MoveProgress;
 use grant::OwnerCandidate;
 use indexmap::IndexMap;
 use kernel::{DomainName, Moment, ServiceName};
@@ -30,15 +29,16 @@
 }
 
 impl EvacuationLog {
-    /// Logs the begin, each batch and the end of the moves of a service.
+    /// Logs the begin, each batch and the end of the moves of a service; `counts` has the
+    /// ranges that are not moved yet, and those that are being moved.
     pub(super) fn record(
         &mut self,
         now: Moment,
         service: &ServiceName,
-        progress: Option<MoveProgress>,
+        counts: Option<(usize, usize)>,
         metrics: &FrontMetrics,
     ) {
-        let Some(progress) = progress else {
+        let Some((remaining, moving)) = counts else {
             if let Some(ended) = self.services.shift_remove(service) {
                 info!(
                     target: "evacuation",
@@ -49,9 +49,6 @@
             }
             return;
         };
-        let MoveProgress {
-            remaining, moving, ..
-        } = progress;
         let known = self.services.get_mut(service);
         if let Some(moves) = known {
             if (moves.remaining, moves.moving) == (remaining, moving) {
--- a/crates/grant/src/evacuation.rs
+++ b/crates/grant/src/evacuation.rs
@@ -5,14 +5,11 @@
 use evac::MoveProgress;
 use indexmap::{IndexMap, IndexSet};
 use kernel::Moment;
-use std::time::Duration;
 
-/// The candidates that must give up their keys.
+/// The candidates that must give up their keys, and by when.
 #[derive(Debug)]
 pub(crate) struct EvacuatedHolders<'a> {
-    holders: IndexSet<&'a Holder>,
-    /// Earliest time by which one of them is to have given up its keys.
-    moves_end: Moment,
+    ends: IndexMap<&'a Holder, Moment>,
 }
 
 impl<'a> EvacuatedHolders<'a> {
@@ -21,46 +18,70 @@
         let evacuated = candidates
             .iter()
             .filter_map(|candidate| Some((&candidate.holder, candidate.gives_up_by?)));
-        let moves_end = evacuated.clone().map(|(_, end)| end).min()?;
-        Some(Self {
-            holders: evacuated.map(|(holder, _)| holder).collect(),
-            moves_end,
-        })
+        let ends: IndexMap<&Holder, Moment> = evacuated.collect();
+        (!ends.is_empty()).then_some(Self { ends })
     }
 
-    /// Returns whether the range belongs to one of them.
-    pub(crate) fn own(&self, range: &OwnedRange) -> bool {
-        let owner = range.owner.as_ref();
-        owner.is_some_and(|owner| self.holders.contains(owner))
+    /// Returns the time by which a range is to be moved; `None` if it may stay.
+    pub(crate) fn end_of(&self, range: &OwnedRange) -> Option<Moment> {
+        self.ends.get(range.owner.as_ref()?).copied()
     }
 
-    /// Returns the epoch under which one of them had a range that is not yet served by
-    /// its new owner. The parts of a range that was split have the same one.
-    fn given_up_epoch(&self, range: &OwnedRange) -> Option<u64> {
-        if range.is_granted || self.own(range) {
+    /// Returns the times by which ranges are still to be moved, in order. Domains that
+    /// were ordered to be evacuated at different times have their own pace.
+    pub(crate) fn pending_ends(&self, map: &OwnerMap) -> Vec<Moment> {
+        let ends: IndexSet<Moment> = map
+            .ranges
+            .iter()
+            .filter_map(|range| self.end_of(range))
+            .collect();
+        let mut ends: Vec<Moment> = ends.into_iter().collect();
+        ends.sort();
+        ends
+    }
+
+    /// Returns until when, and under which epoch, one of them had a range that is not yet
+    /// served by its new owner. The parts of a range that was split have the same epoch.
+    fn given_up(&self, range: &OwnedRange) -> Option<(Moment, u64)> {
+        if range.is_granted || self.end_of(range).is_some() {
             return None;
         }
         let mut previous = range.previous_holders.iter().rev();
-        let given_up = previous.find(|(holder, _)| self.holders.contains(holder));
-        given_up.map(|(_, epoch)| *epoch)
+        previous.find_map(|(holder, epoch)| Some((*self.ends.get(holder)?, *epoch)))
     }
 
-    /// Returns the progress of the moves.
-    pub(crate) fn progress(&self, now: Moment, map: &OwnerMap) -> MoveProgress {
-        let ranges = map.ranges.iter();
-        let moving = ranges
-            .clone()
-            .filter_map(|range| self.given_up_epoch(range));
+    /// Returns the progress of the moves that are to end at a time.
+    pub(crate) fn progress(&self, now: Moment, map: &OwnerMap, end: Moment) -> MoveProgress {
+        let mut remaining = 0;
+        let mut given_up_epochs = IndexSet::new();
+        for range in &map.ranges {
+            if self.end_of(range) == Some(end) {
+                remaining += 1;
+            }
+            if let Some((known_end, epoch)) = self.given_up(range)
+                && known_end == end
+            {
+                given_up_epochs.insert(epoch);
+            }
+        }
         MoveProgress {
-            remaining: ranges.filter(|range| self.own(range)).count(),
-            moving: moving.collect::<IndexSet<u64>>().len(),
-            time_left: self.time_left(now),
+            remaining,
+            moving: given_up_epochs.len(),
+            time_left: end - now,
         }
     }
 
-    /// Returns the time until all ranges are to be moved.
-    pub(crate) fn time_left(&self, now: Moment) -> Duration {
-        self.moves_end - now
+    /// Returns the number of ranges whose move has not begun, and of those that are being
+    /// moved.
+    pub(crate) fn counts(&self, map: &OwnerMap) -> (usize, usize) {
+        let ranges = map.ranges.iter();
+        let remaining = ranges
+            .clone()
+            .filter(|range| self.end_of(range).is_some())
+            .count();
+        let moving: IndexSet<(Moment, u64)> =
+            ranges.filter_map(|range| self.given_up(range)).collect();
+        (remaining, moving.len())
     }
 }
 
--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -5,7 +5,7 @@
 use crate::call_limit::CallLimit;
 use crate::evacuation::{EvacuatedHolders, move_ranges};
 use crate::{GrantTiming, Holder, KeyLoads, OwnedRange, OwnerMap, PreviousTerm};
-use evac::{MoveProgress, next_moves};
+use evac::next_moves;
 use indexmap::{IndexMap, IndexSet};
 use kernel::Moment;
 use std::time::Duration;
@@ -450,24 +450,30 @@
         let is_valid = |holder: &Holder| known.contains(holder);
         is_changed |= assign_orphans(&mut planned, candidates, loads, &is_valid, &mut next_epoch);
         let evacuated = EvacuatedHolders::find(candidates);
-        if let Some(evacuated) = &evacuated {
-            let progress = evacuated.progress(now, &planned);
-            let is_overdue = progress.time_left.is_zero();
+        let pending_ends = evacuated.iter().flat_map(|evacuated| {
+            evacuated
+                .pending_ends(&planned)
+                .into_iter()
+                .map(move |end| (evacuated, end))
+        });
+        let pending_ends: Vec<(&EvacuatedHolders<'_>, Moment)> = pending_ends.collect();
+        for (evacuated, end) in pending_ends {
             let may_move = |range: &OwnedRange| {
-                evacuated.own(range)
-                    && (is_overdue || !has_unanswered_grant(&self.holders, range, now))
+                evacuated.end_of(range) == Some(end)
+                    && (end <= now || !has_unanswered_grant(&self.holders, range, now))
             };
+            let count = next_moves(evacuated.progress(now, &planned, end));
             is_changed |= move_ranges(
                 &mut planned,
                 candidates,
                 loads,
-                next_moves(progress),
+                count,
                 &may_move,
                 &mut next_epoch,
             );
         }
-        let is_evacuating = evacuated
-            .is_some_and(|evacuated| planned.ranges.iter().any(|range| evacuated.own(range)));
+        let is_evacuating =
+            evacuated.is_some_and(|evacuated| !evacuated.pending_ends(&planned).is_empty());
         // Keys of a silent upstream may wait for seconds, so others may move meanwhile,
         // up to half of the limit.
         let moving_ranges = planned.ranges.iter().filter(|range| !range.is_granted);
@@ -493,15 +499,11 @@
         Some(planned)
     }
 
-    /// Returns the progress of the moves away from candidates that must give up their
-    /// keys; `None` if there are no such candidates.
-    pub fn evacuation_progress(
-        &self,
-        now: Moment,
-        candidates: &[OwnerCandidate],
-    ) -> Option<MoveProgress> {
+    /// Returns how many ranges of candidates that must give up their keys are not moved
+    /// yet, and how many are being moved; `None` if there are no such candidates.
+    pub fn evacuation_counts(&self, candidates: &[OwnerCandidate]) -> Option<(usize, usize)> {
         let evacuated = EvacuatedHolders::find(candidates)?;
-        Some(evacuated.progress(now, &self.map))
+        Some(evacuated.counts(&self.map))
     }
 
     /// Removes previous grants of the owners that cannot be in force any more.
--- a/crates/grant/tests/evacuation.rs
+++ b/crates/grant/tests/evacuation.rs
@@ -334,6 +334,30 @@
     );
 }
 
+/// Guards against a second domain whose ranges are moved all at once, as the time of the
+/// first one is over.
+#[test]
+fn step_second_evacuation_has_its_own_pace() {
+    let mut run = Surroundings::new(192, 96, 500);
+    run.run(Duration::from_secs(2));
+    run.order(true);
+    run.run(MOVES_END * 2);
+    assert_eq!(run.counts(), (0, 0));
+    let end = run.now + MOVES_END;
+    let others = run.candidates.iter_mut().filter(|c| c.accepts_keys);
+    for candidate in others.take(24) {
+        candidate.gives_up_by = Some(end);
+        candidate.accepts_keys = false;
+        run.evacuated.insert(candidate.holder.clone());
+    }
+    let (to_move, _) = run.counts();
+    run.run(Duration::from_millis(200));
+    let (after_begin, _) = run.counts();
+    assert!(after_begin > to_move / 2, "{after_begin} of {to_move}");
+    run.run(MOVES_END);
+    assert_eq!(run.counts(), (0, 0));
+}
+
 /// Guards against a new leader that takes all ranges at once or stops moving them.
 #[test]
 fn step_change_of_leader_halfway_continues_the_moves() {
