Take no term twice when the store is restored from a copy

A restored store issues its versions again, and the row of the lease goes back, so that the next leader took a term, and granted epochs, that were in use. The owners of the copy also named holders that had released their keys, and were granted them again while others held them.

Hosts now keep the greatest term that they know of, from messages, rows, the epochs of owners and 409s, and tell it in reports and replies (message format 12). A leader takes a term above it, and raises its own when it learns of a greater one. The header Store-Era gives the high bits of the term, so that this also holds when all hosts restart. A write whose answer comes from another era is unknown, and is resolved by a read. Owners are compared by their greatest epoch before their version, and a leader that knows newer owners than the row has goes on from those.

--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -14,6 +14,7 @@
 use async_std::future::timeout;
 use grant::{
     CallReply, GrantCall, GrantLedger, GrantTiming, Holder, LeaderLease, LeaseRow, OwnerCandidate,
+    OwnerMap,
 };
 use indexmap::IndexMap;
 use kernel::{Clock, Moment, ServiceName, TaskScope};
@@ -23,7 +24,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
-use store::RowStore;
+use store::{RowStore, StoreEra};
 
 /// Maximum time between two steps of the ledgers while no reply arrives.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -118,6 +119,10 @@
     store_failing_since: Option<Moment>,
     /// Versions of the entries and the sheet that were last announced to all hosts.
     announced_versions: (u64, u64),
+    /// Era of the store at the last read of the lease.
+    row_era: Option<StoreEra>,
+    /// Owners of the ledgers that this host last removed.
+    last_owners: IndexMap<ServiceName, OwnerMap>,
 }
 
 impl LeaderLoop {
@@ -151,6 +156,8 @@
             leadership_changed_at: Moment::ZERO,
             store_failing_since: None,
             announced_versions: (0, 0),
+            row_era: None,
+            last_owners: IndexMap::new(),
             context,
         }
     }
@@ -251,6 +258,10 @@
 
     fn record_reply(&mut self, (service, call, reply): LedgerReply) {
         let now = self.now();
+        if reply == CallReply::Superseded {
+            let peers = &self.context.peers;
+            peers.update_term_floor(|floor| floor.record_superseded(call.epoch));
+        }
         if let Some(ledger) = self.ledgers.get_mut(&service) {
             ledger.record_reply(now, &call, reply);
         }
@@ -299,6 +310,10 @@
         }
         self.extend_if_ending(now);
         self.next_step_at = now + MIN_STEP_INTERVAL;
+        if !self.raise_term().await {
+            self.next_step_at = self.now() + WRITE_RETRY_DELAY;
+            return;
+        }
         let mut commits = Vec::new();
         let mut calls = Vec::new();
         for service in self.sharded_services() {
--- a/crates/front/src/leader/lease.rs
+++ b/crates/front/src/leader/lease.rs
@@ -151,6 +151,12 @@
         let found = page.rows.iter().find(|row| row.key == LEASE_KEY);
         self.row_version = found.map_or(0, |row| row.version);
         self.row = found.and_then(decode_lease_row);
+        self.row_era = page.era;
+        let row_term = self.row.as_ref().map_or(0, |row| row.term);
+        self.context.peers.update_term_floor(|floor| {
+            floor.record_term(row_term);
+            floor.record_era(page.era.map_or(0, |era| era.0));
+        });
         let lease_at_start = match &self.row {
             None => LeaseAtStart::Absent,
             Some(row) if row.expires_ms > page.store_now_ms => LeaseAtStart::Held,
@@ -183,19 +189,27 @@
                 announced.unwrap_or_else(|| PreviousTerm::from(row))
             },
         );
-        let term = previous_row
-            .as_ref()
-            .map_or(1, |row| if is_own_lease { row.term } else { row.term + 1 });
+        for map in self.context.dispatcher.state.view.load().owners.values() {
+            self.context.peers.record_owners(map);
+        }
+        let floor = self.context.peers.term_floor();
         // A write of this run whose answer was lost may have been applied since.
         let is_unchanged = self.row_version == self.written_version;
+        // Without its ledgers, this run does not know which epochs of the term it has used:
+        // the owners in the store may have gone back.
+        let continued_row = previous_row.as_ref().filter(|row| {
+            let has_ledgers = is_unchanged && !self.ledgers.is_empty();
+            is_own_lease && has_ledgers && row.term == floor.greatest()
+        });
+        let term = continued_row.map_or_else(|| floor.next_term(), |row| row.term);
         if self.write_lease(term, Vec::new()).await.is_err() {
             return;
         }
-        if is_own_lease && is_unchanged && !self.ledgers.is_empty() {
+        if continued_row.is_some() {
             info!(target: "lead", "state=regained term={term}");
             return;
         }
-        self.ledgers.clear();
+        self.clear_ledgers();
         self.timing = GrantTiming::with_max_grant(self.context.bounds.load().longest_hold);
         let table = self.context.platform.tables().owners.clone();
         let response = timeout(STORE_TIMEOUT, self.context.store.list(&table)).await;
@@ -215,8 +229,17 @@
             let Some(map) = decode_owner_row(&service, bytes) else {
                 continue;
             };
+            self.context.peers.record_owners(&map);
+            let (map, has_gone_back) = self.newer_owners(&service, map);
             let mut ledger = GrantLedger::new(self.timing, term);
             ledger.adopt(now, map, previous);
+            if has_gone_back {
+                warn!(
+                    target: "lead",
+                    "state=owners_gone_back term={term} service={service} row={}", row.version,
+                );
+                ledger.raise_term(term);
+            }
             self.ledgers.insert(service, ledger);
         }
         // Makes the next update tell the new ledgers which holders have ended.
@@ -253,6 +276,14 @@
                 "no answer within the timeout".to_owned(),
             )),
         };
+        let outcome = match outcome {
+            // The versions that the write was conditional on are those of another era, in
+            // which other rows may have them.
+            Ok(receipt) if receipt.era != self.row_era => {
+                Err(WriteError::Unknown("the store was restored".to_owned()))
+            }
+            other => other,
+        };
         let outcome = match outcome {
             Err(WriteError::Unknown(reason)) => {
                 warn!(target: "lead", "state=write_unknown term={term} error=\"{reason}\"");
@@ -299,7 +330,7 @@
                     // date.
                     self.release_lease();
                     self.context.peers.set_leading(None, &[]);
-                    self.ledgers.clear();
+                    self.clear_ledgers();
                 } else {
                     self.store_failing_since.get_or_insert(sent_at);
                     self.context.peers.set_feed_live(false);
@@ -309,22 +340,80 @@
         }
     }
 
+    /// Removes the ledgers, and keeps their owners in case the store's go back.
+    fn clear_ledgers(&mut self) {
+        for (service, ledger) in self.ledgers.drain(..) {
+            self.last_owners.insert(service, ledger.map().clone());
+        }
+    }
+
+    /// Returns the owners in a row of the store, or newer ones that this host knows; and
+    /// whether the row has gone back.
+    fn newer_owners(&self, service: &ServiceName, row: OwnerMap) -> (OwnerMap, bool) {
+        let view = self.context.dispatcher.state.view.load();
+        let led = self.last_owners.get(service);
+        let told = view.owners.get(service);
+        // The owners that this host wrote last tell the previous holders as well.
+        let newest = match (led, told) {
+            (Some(led), Some(told)) if led.greatest_epoch() < told.greatest_epoch() => Some(told),
+            (Some(led), _) => Some(led),
+            (None, told) => told,
+        };
+        match newest {
+            Some(known) => row.or_newer(known),
+            None => (row, false),
+        }
+    }
+
+    /// Leads in a later term if a greater one than this host's is known; returns `false`
+    /// if the lease could not be written.
+    ///
+    /// The row of the lease has gone back, or an upstream has seen a greater epoch: this
+    /// term, and its epochs, may be those of another leader.
+    pub(super) async fn raise_term(&mut self) -> bool {
+        let term = self.row.as_ref().map_or(0, |row| row.term);
+        let floor = self.context.peers.term_floor();
+        if floor.greatest() <= term {
+            return true;
+        }
+        let next_term = floor.next_term();
+        if self.write_lease(next_term, Vec::new()).await.is_err() {
+            return false;
+        }
+        for ledger in self.ledgers.values_mut() {
+            ledger.raise_term(next_term);
+        }
+        self.context.metrics.term_raises.inc();
+        info!(
+            target: "lead",
+            "state=term_raised term={next_term} earlier={term} known={}", floor.greatest(),
+        );
+        self.context.report_channel.announce(next_term).await;
+        true
+    }
+
     /// Reads the lease row to find out whether a write without an answer was applied.
     async fn resolve_unknown(
         &mut self,
         written: &LeaseRow,
         reason: String,
     ) -> Result<WriteReceipt, WriteError> {
-        let version = self.row_version;
+        let (version, era) = (self.row_version, self.row_era);
         self.context.peers.set_feed_live(false);
         self.announce_feed_state(written.term).await;
         if !self.read_lease_row().await {
             return Err(WriteError::Unknown(reason));
         }
+        if self.row_era != era {
+            // Nothing that was read in the earlier era holds, and its terms may be taken
+            // again.
+            return Err(WriteError::Conflict);
+        }
         if self.row.as_ref() == Some(written) {
             return Ok(WriteReceipt {
                 version: self.row_version,
                 store_now_ms: 0,
+                era: self.row_era,
             });
         }
         if self.row_version == version {
@@ -461,7 +550,7 @@
             is_clean: self.is_clean(),
             grants_valid_for: Some(remaining.max().unwrap_or_default()),
         };
-        self.ledgers.clear();
+        self.clear_ledgers();
         self.store_failing_since = None;
         let row = self.row.as_ref();
         let term = row.map_or(1, |row| row.term);
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -21,7 +21,7 @@
 pub(crate) const MAX_SHEET_BYTES: usize = MAX_DATAGRAM_BYTES - (8 << 10);
 /// First byte of every message. A message with another format comes from a host that
 /// runs another version of the program during an upgrade.
-const FORMAT: u8 = 11;
+const FORMAT: u8 = 12;
 
 /// A message that could not be encoded or decoded.
 #[derive(Debug)]
@@ -99,6 +99,8 @@
     pub reaches_store: bool,
     /// The versions that the host knows.
     pub known: KnownVersions,
+    /// The greatest term that the host knows of.
+    pub greatest_term: u64,
 }
 
 /// The versions of the store's rows that a host knows.
@@ -252,6 +254,8 @@
     pub standbys: Vec<String>,
     /// Addresses of all hosts, for a standby that may have to lead.
     pub host_addresses: Vec<SocketAddr>,
+    /// The greatest term that the sender knows of.
+    pub greatest_term: u64,
 }
 
 impl LeaderReply {
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -26,6 +26,8 @@
     pub is_leader: IntGauge,
     /// Version of the sheet in force.
     pub sheet_version: IntGauge,
+    /// Times that this host led in a later term because it learned of a greater one.
+    pub term_raises: IntCounter,
 }
 
 impl FrontMetrics {
@@ -70,6 +72,10 @@
             store_failures: counter("trestle_store_failures_total", "Failed store calls")?,
             is_leader: gauge("trestle_is_leader", "1 while this host grants keys")?,
             sheet_version: gauge("trestle_sheet_version", "Version of the sheet in force")?,
+            term_raises: counter(
+                "trestle_term_raises_total",
+                "Terms taken because a greater one was known",
+            )?,
             registry,
         })
     }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -5,7 +5,7 @@
 use crate::wire_load::WireLoad;
 use async_channel::{Receiver, Sender, bounded};
 use async_std::future::timeout;
-use grant::{KeyLoads, PreviousTerm};
+use grant::{KeyLoads, OwnerMap, PreviousTerm, TermFloor};
 use indexmap::IndexMap;
 use kernel::{Clock, DomainName, Moment, ServiceName, UpstreamId};
 use parking_lot::Mutex;
@@ -122,6 +122,7 @@
     loads_updated_at: Moment,
     loads_offset: usize,
     decayed_at: Moment,
+    term_floor: TermFloor,
 }
 
 impl PeerRegistry {
@@ -157,6 +158,7 @@
                 loads_updated_at: Moment::ZERO,
                 loads_offset: 0,
                 decayed_at,
+                term_floor: TermFloor::default(),
             }),
         }
     }
@@ -325,10 +327,26 @@
     /// standbys.
     pub(crate) fn set_leading(&self, leading_term: Option<u64>, standbys: &[String]) {
         let mut state = self.state.lock();
+        state.term_floor.record_term(leading_term.unwrap_or(0));
         state.leading_term = leading_term;
         state.standbys = standbys.to_vec();
     }
 
+    /// Returns the terms that this host knows of.
+    pub(crate) fn term_floor(&self) -> TermFloor {
+        self.state.lock().term_floor
+    }
+
+    /// Records terms that this host learns of other than by a message.
+    pub(crate) fn update_term_floor(&self, update: impl FnOnce(&mut TermFloor)) {
+        update(&mut self.state.lock().term_floor);
+    }
+
+    /// Records the term of the newest epoch in a map of owners.
+    pub(crate) fn record_owners(&self, map: &OwnerMap) {
+        self.update_term_floor(|floor| floor.record_epoch(map.greatest_epoch()));
+    }
+
     /// Returns the hosts that have reported recently.
     pub(crate) fn hosts(&self) -> Vec<PeerHost> {
         let now = self.clock.now();
@@ -354,6 +372,8 @@
     ) -> bool {
         let now = self.clock.now();
         let mut state = self.state.lock();
+        state.term_floor.record_term(reply.term);
+        state.term_floor.record_term(reply.greatest_term);
         if reply.term < state.term || state.leading_term.is_some_and(|term| term >= reply.term) {
             return false;
         }
@@ -513,6 +533,7 @@
     ) {
         let now = self.clock.now();
         let mut state = self.state.lock();
+        state.term_floor.record_term(report.greatest_term);
         for (id, load) in observed_loads {
             state.fleet_loads.record(now, id, *load);
         }
--- a/crates/front/src/replica.rs
+++ b/crates/front/src/replica.rs
@@ -381,12 +381,27 @@
         // changes between versions.
         map.clear_previous_holders();
         let mut state = self.state.lock();
+        let view = self.view.load();
+        let known_epoch = view
+            .owners
+            .get(&service)
+            .map_or(0, OwnerMap::greatest_epoch);
         let known_version = state.owner_versions.entry(service.clone()).or_insert(0);
-        if version <= *known_version {
-            return;
+        // A store that was restored issues its versions again, but epochs only increase.
+        match map.greatest_epoch().cmp(&known_epoch) {
+            std::cmp::Ordering::Less => return,
+            std::cmp::Ordering::Equal if version <= *known_version => return,
+            _ => {}
         }
         let previous_version = std::mem::replace(known_version, version);
-        let view = self.view.load();
+        if version <= previous_version {
+            info!(
+                target: "owners",
+                "service={service} state=restored row={version} earlier={previous_version}",
+            );
+            // Differences are computed between versions of one history.
+            state.previous_owners.retain(|(name, ..)| *name != service);
+        }
         let mut owners = IndexMap::clone(&view.owners);
         if let Some(previous_map) = owners.insert(service.clone(), map) {
             if state.previous_owners.len() >= MAX_PREVIOUS_OWNERS {
@@ -421,7 +436,7 @@
             let Some(map) = view
                 .owners
                 .get(service)
-                .filter(|_| known_version < *version)
+                .filter(|_| known_version != *version)
             else {
                 continue;
             };
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -168,6 +168,7 @@
             } else {
                 Vec::new()
             },
+            greatest_term: self.greatest_term(),
         };
         let changes = self.replica.entry_changes_since(known.entries);
         let mut replies = vec![first];
@@ -242,9 +243,18 @@
                 entries: self.replica.entries_version(),
                 sheet: self.replica.sheet_version(),
             },
+            greatest_term: self.greatest_term(),
         }
     }
 
+    /// Returns the greatest term that this host knows of, in the epochs of owners too.
+    fn greatest_term(&self) -> u64 {
+        for map in self.dispatcher.state.view.load().owners.values() {
+            self.peers.record_owners(map);
+        }
+        self.peers.term_floor().greatest()
+    }
+
     fn apply_sheet(&self, reply: &LeaderReply) {
         match &reply.sheet {
             WireSheet::Known => self.replica.record_peer_sheet(reply.sheet_version),
--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Low bits of an epoch that count within a term; the bits above hold the term.
-const EPOCH_COUNTER_BITS: u32 = 24;
+pub(crate) const EPOCH_COUNTER_BITS: u32 = 24;
 /// Consecutive failed connections after which an upstream is considered silent.
 const SILENT_AFTER_FAILURES: u32 = 2;
 /// Delay before a failed call is retried.
@@ -204,6 +204,19 @@
         self.set_map(now, map);
     }
 
+    /// Issues further epochs in a later term of the same leader, beginning with one for the
+    /// first range.
+    ///
+    /// Hosts that know owners with greater epochs believe this leader's owners from then
+    /// on.
+    pub fn raise_term(&mut self, term: u64) {
+        self.last_epoch = self.last_epoch.max(term << EPOCH_COUNTER_BITS);
+        let first = self.range_states.keys().next().copied();
+        if let Some(key) = first {
+            self.remove_range_state(&key);
+        }
+    }
+
     /// Returns the map of the last committed row.
     pub const fn map(&self) -> &OwnerMap {
         &self.map
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod balance;
 mod call_limit;
+mod floor;
 mod lease;
 mod ledger;
 mod loads;
@@ -33,6 +34,7 @@
 mod wire;
 
 pub use balance::OwnerCandidate;
+pub use floor::{TermFloor, term_of};
 pub use lease::{LeaderLease, LeaseClaimant, LeaseRow, PreviousTerm};
 pub use ledger::{CallKind, CallReply, GrantCall, GrantLedger, LedgerStep};
 pub use loads::{KeyCounts, KeyLoads};
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -27,5 +27,5 @@
     StoreTransaction, TableStore,
 };
 pub use rows::{
-    FeedReply, RowName, RowPage, RowStore, RowWrite, TableRow, WriteError, WriteReceipt,
+    FeedReply, RowName, RowPage, RowStore, RowWrite, StoreEra, TableRow, WriteError, WriteReceipt,
 };
--- a/crates/store/src/rows.rs
+++ b/crates/store/src/rows.rs
@@ -23,6 +23,11 @@
     }
 }
 
+/// Era of a store: it increases each time the store is restored from a copy, when its
+/// versions go back and are issued again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StoreEra(pub u64);
+
 /// A row, or a record of its removal.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TableRow {
@@ -43,6 +48,8 @@
     pub version: u64,
     /// The store's monotonic clock, in milliseconds.
     pub store_now_ms: u64,
+    /// Era of the version; `None` if the store does not tell it.
+    pub era: Option<StoreEra>,
 }
 
 /// The reply of a change feed.
@@ -70,6 +77,8 @@
     pub version: u64,
     /// The store's monotonic clock, in milliseconds.
     pub store_now_ms: u64,
+    /// Era of the version; `None` if the store does not tell it.
+    pub era: Option<StoreEra>,
 }
 
 /// Why a write was not confirmed.
