--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -421,10 +421,13 @@
         self.clients.stop();
         let max_duration = self.bounds.load().stop.mul_f64(STOP_FRACTION);
         let notice_duration = BALANCER_NOTICE_DURATION.min(max_duration / 2);
+        let started_at = Instant::now();
+        let stop_at = started_at + max_duration;
         async_std::task::sleep(notice_duration).await;
         self.clients.close();
-        let stop_at = Instant::now() + (max_duration - notice_duration);
-        self.wait_until_answered(stop_at - MAX_CLOSE_DURATION).await;
+        let close_duration = MAX_CLOSE_DURATION.min(max_duration / 4);
+        self.wait_until_answered(started_at + max_duration.saturating_sub(close_duration))
+            .await;
         self.clients.stop_accepting();
         while self.listener.strong_count() > 0 && Instant::now() < stop_at {
             async_std::task::sleep(LISTENER_POLL_INTERVAL).await;
