Order versions by the era of the store

After a restore, the store's versions are lower than those that hosts know, and hosts that the leader tells of entries learned of no change until versions had passed theirs: two of five hosts went on using a leaving upstream 1.9 s after its entry had changed.

A version now consists of the era and the store's number, so that all of an era are greater than those of earlier ones and every comparison holds. Without the header, a version is the store's number, as before.

A lease's row with a lower term than that of a leader which was heard within its lease is not believed.

--- a/crates/front/src/leader/lease.rs
+++ b/crates/front/src/leader/lease.rs
@@ -99,6 +99,12 @@
         }
         self.failed_polls = 0;
         self.polls_without_leader = self.polls_without_leader.saturating_add(1);
+        let row_term = self.row.as_ref().map_or(0, |row| row.term);
+        let peers = &self.context.peers;
+        if row_term < peers.told_term() && peers.is_leader_live(self.timing.leader_lease) {
+            // The row has gone back, but not the lease of the leader of the later term.
+            return;
+        }
         let store_now = self.store_now_ms;
         let claimant = LeaseClaimant {
             host: &self.context.settings.name,
@@ -163,8 +169,11 @@
             Some(_) => LeaseAtStart::Expired,
         };
         self.context.peers.record_lease_at_start(lease_at_start);
-        let leader = self.row.as_ref().and_then(|row| row.address.parse().ok());
-        self.context.peers.set_leader(leader);
+        // A row that has gone back names an earlier leader.
+        if row_term >= self.context.peers.told_term() {
+            let leader = self.row.as_ref().and_then(|row| row.address.parse().ok());
+            self.context.peers.set_leader(leader);
+        }
         if let Some(row) = &self.row {
             self.context
                 .dispatcher
@@ -300,6 +309,9 @@
                 }
                 self.row_version = receipt.version;
                 self.written_version = receipt.version;
+                let era = receipt.era.map_or(0, |era| era.0);
+                let peers = &self.context.peers;
+                peers.update_term_floor(|floor| floor.record_era(era));
                 self.context.peers.set_leader(row.address.parse().ok());
                 let budgets = &self.context.dispatcher.state.budgets;
                 budgets.set_host_count(row.hosts);
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -332,6 +332,11 @@
         state.standbys = standbys.to_vec();
     }
 
+    /// Returns the greatest term of which a leader has told this host.
+    pub(crate) fn told_term(&self) -> u64 {
+        self.state.lock().term
+    }
+
     /// Returns the terms that this host knows of.
     pub(crate) fn term_floor(&self) -> TermFloor {
         self.state.lock().term_floor
--- a/crates/grant/tests/epochs.rs
+++ b/crates/grant/tests/epochs.rs
@@ -132,7 +132,7 @@
                 self.restart(host);
             }
             32..35 if self.knowledge != Knowledge::Messages => {
-                (0..HOSTS).for_each(|host| self.restart(host))
+                (0..HOSTS).for_each(|host| self.restart(host));
             }
             35..43 => {
                 let age = self.rng.usize(1..=MAX_COPY_AGE).min(self.copies.len());
--- a/crates/store/src/rows.rs
+++ b/crates/store/src/rows.rs
@@ -25,9 +25,34 @@
 
 /// Era of a store: it increases each time the store is restored from a copy, when its
 /// versions go back and are issued again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StoreEra(pub u64);
 
+/// Low bits of a version that hold the number which the store issued; the bits above hold
+/// the era. A store that issues a million numbers a second reaches the limit after 200
+/// days, and there is room for a million eras.
+const VERSION_NUMBER_BITS: u32 = 44;
+
+impl StoreEra {
+    /// Returns the version for a number that the store issued in this era; `None` if it is
+    /// out of range.
+    ///
+    /// Versions of an era are greater than all of earlier eras, so that what was read
+    /// before a restore is older. In era 0, that of stores that tell none, the version is
+    /// the number.
+    pub fn version(self, number: u64) -> Option<u64> {
+        let era = self.0.checked_shl(VERSION_NUMBER_BITS)?;
+        let is_valid = number >> VERSION_NUMBER_BITS == 0 && era >> VERSION_NUMBER_BITS == self.0;
+        (is_valid || self.0 == 0).then_some(era | number)
+    }
+
+    /// Returns the era of a version, and the number that the store issued.
+    pub const fn split(version: u64) -> (Self, u64) {
+        let number = version & ((1 << VERSION_NUMBER_BITS) - 1);
+        (Self(version >> VERSION_NUMBER_BITS), number)
+    }
+}
+
 /// A row, or a record of its removal.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TableRow {
