--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -17,6 +17,7 @@
 use async_std::future::timeout;
 use grant::{
     CallReply, GrantCall, GrantLedger, GrantTiming, Holder, LeaderLease, LeaseRow, OwnerCandidate,
+    OwnerMap,
 };
 use indexmap::IndexMap;
 use kernel::{Clock, Moment, ServiceName, TaskScope};
@@ -26,7 +27,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
-use store::RowStore;
+use store::{RowStore, StoreEra};
 
 /// Maximum time between two steps of the ledgers while no reply arrives.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -123,6 +124,10 @@
     announced_versions: (u64, u64, u64),
     evacuation_log: EvacuationLog,
     holder_paces: HolderPaces,
+    /// Era of the store at the last read of the lease.
+    row_era: Option<StoreEra>,
+    /// Owners of the ledgers that this host last removed.
+    last_owners: IndexMap<ServiceName, OwnerMap>,
 }
 
 impl LeaderLoop {
@@ -158,6 +163,8 @@
             announced_versions: (0, 0, 0),
             evacuation_log: EvacuationLog::default(),
             holder_paces: HolderPaces::default(),
+            row_era: None,
+            last_owners: IndexMap::new(),
             context,
         }
     }
@@ -260,6 +267,10 @@
 
     fn record_reply(&mut self, (service, call, reply): LedgerReply) {
         let now = self.now();
+        if reply == CallReply::Superseded {
+            let peers = &self.context.peers;
+            peers.update_term_floor(|floor| floor.record_superseded(call.epoch));
+        }
         if let Some(ledger) = self.ledgers.get_mut(&service) {
             ledger.record_reply(now, &call, reply);
         }
@@ -315,6 +326,10 @@
         }
         self.extend_if_ending(now);
         self.next_step_at = now + MIN_STEP_INTERVAL;
+        if !self.raise_term().await {
+            self.next_step_at = self.now() + WRITE_RETRY_DELAY;
+            return;
+        }
         let mut commits = Vec::new();
         let mut calls = Vec::new();
         for service in self.sharded_services() {
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -109,6 +109,8 @@
     pub wanted: Vec<WireWant>,
     /// Upstreams that the host found cold.
     pub cold: Vec<WireCold>,
+    /// The greatest term that the host knows of.
+    pub greatest_term: u64,
 }
 
 /// The versions of the store's rows that a host knows.
@@ -285,6 +287,8 @@
     pub tokens: Vec<WireTokens>,
     /// Upstreams that a host found cold.
     pub cold: Vec<WireCold>,
+    /// The greatest term that the sender knows of.
+    pub greatest_term: u64,
 }
 
 impl LeaderReply {
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -47,6 +47,8 @@
     pub cold_found: IntCounterVec,
     /// Upstreams that are cold now and limited.
     pub cold_upstreams: IntGauge,
+    /// Times that this host led in a later term because it learned of a greater one.
+    pub term_raises: IntCounter,
 }
 
 impl FrontMetrics {
@@ -141,6 +143,10 @@
             cold_requests,
             cold_found,
             cold_upstreams: gauge("trestle_cold_upstreams", "Cold upstreams with a limit")?,
+            term_raises: counter(
+                "trestle_term_raises_total",
+                "Terms taken because a greater one was known",
+            )?,
             registry,
         })
     }
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -187,6 +187,7 @@
             report_sent_at_us: 0,
             tokens: Vec::new(),
             cold: self.dispatcher.state.cold.known_cold(false),
+            greatest_term: self.greatest_term(),
         };
         let changes = self.replica.entry_changes_since(known.entries);
         let mut replies = vec![first];
@@ -277,9 +278,18 @@
             is_early: false,
             wanted: Vec::new(),
             cold: state.cold.known_cold(true),
+            greatest_term: self.greatest_term(),
         }
     }
 
+    /// Returns the greatest term that this host knows of, in the epochs of owners too.
+    fn greatest_term(&self) -> u64 {
+        for map in self.dispatcher.state.view.load().owners.values() {
+            self.peers.record_owners(map);
+        }
+        self.peers.term_floor().greatest()
+    }
+
     fn apply_sheet(&self, reply: &LeaderReply) {
         match &reply.sheet {
             WireSheet::Known => self.replica.record_peer_sheet(reply.sheet_version),
