--- a/crates/kernel/src/verdict.rs
+++ b/crates/kernel/src/verdict.rs
@@ -137,6 +137,8 @@
     OutcomeUnknown => "outcome-unknown", 504, MayHaveRun, false;
     /// The connection to the primary failed after the request was sent.
     PrimaryLost => "primary-lost", 502, MayHaveRun, true;
+    /// The connection to the relay failed after the request was sent.
+    RelayLost => "relay-lost", 502, MayHaveRun, true;
     /// The connection to the upstream failed after the request was sent.
     UpstreamLost => "upstream-lost", 502, MayHaveRun, true;
     /// The upstream did not answer in time.
