Relay requests between the hosts of a failure domain

The leader sends each domain a versioned list of its live hosts in its replies to reports; the format of peer messages is raised to 12.

The exchange with an upstream is split into fetching an answer and judging it, so that a relay returns the upstream's answer as it is and the host that selected the upstream judges it. Without the option nothing listens, nothing is sent and requests take the same path as before; new counters tell the ways of requests and the connections opened.

--- a/crates/ebonytrestle/src/front_host.rs
+++ b/crates/ebonytrestle/src/front_host.rs
@@ -3,7 +3,7 @@
 use crate::signals::SignalReceiver;
 use async_std::future::timeout;
 use eyre::{Result, WrapErr, eyre};
-use front::{FrontHost, LineLog, LoadedPlatform, PlatformPlugin};
+use front::{FrontHost, LineLog, LoadedPlatform, PlatformPlugin, RelayMode};
 use kernel::find_plugin;
 use log::{LevelFilter, info, warn};
 use simplelog::{ConfigBuilder, WriteLogger};
@@ -15,7 +15,12 @@
 
 /// Runs a host on the platform named `name` until a stop signal arrives, or prints its
 /// settings if `check_only` is set.
-pub(crate) fn run(name: &str, settings: Option<PathBuf>, check_only: bool) -> Result<()> {
+pub(crate) fn run(
+    name: &str,
+    settings: Option<PathBuf>,
+    check_only: bool,
+    relay: RelayMode,
+) -> Result<()> {
     platform::register();
     let plugin = find_plugin::<PlatformPlugin>(name)?;
     let path = match settings {
@@ -29,7 +34,7 @@
                 )
             })?,
     };
-    let loaded = load_settings(plugin, &path)?;
+    let loaded = load_settings(plugin, &path, relay)?;
     if check_only {
         println!("{:#?}", loaded.settings);
         return Ok(());
@@ -38,10 +43,13 @@
     async_std::task::block_on(serve(plugin, &path, loaded))
 }
 
-fn load_settings(plugin: &PlatformPlugin, path: &Path) -> Result<LoadedPlatform> {
+fn load_settings(plugin: &PlatformPlugin, path: &Path, relay: RelayMode) -> Result<LoadedPlatform> {
     let text = std::fs::read_to_string(path)
         .wrap_err_with(|| format!("cannot read {}", path.display()))?;
-    (plugin.load)(&text).map_err(|error| eyre!("{}: {error}", path.display()))
+    let loaded = (plugin.load)(&text);
+    let mut loaded = loaded.map_err(|error| eyre!("{}: {error}", path.display()))?;
+    loaded.settings.relay = relay;
+    Ok(loaded)
 }
 
 fn start_log() -> Result<()> {
@@ -70,7 +78,7 @@
             continue;
         }
         loaded_text = text;
-        match load_settings(plugin, path) {
+        match load_settings(plugin, path, settings.relay) {
             Ok(reloaded) if reloaded.settings != settings => {
                 settings = reloaded.settings;
                 let at_next_start = host.reload(&settings);
--- a/crates/ebonytrestle/src/main.rs
+++ b/crates/ebonytrestle/src/main.rs
@@ -58,7 +58,8 @@
             platform,
             settings,
             check_only,
-        } => front_host::run(&platform, settings, check_only),
+            relay,
+        } => front_host::run(&platform, settings, check_only, relay),
         Command::Serve(path) => {
             let settings = load_settings(&path)?;
             start_log(&settings.log)?;
--- a/crates/ebonytrestle/src/options.rs
+++ b/crates/ebonytrestle/src/options.rs
@@ -1,5 +1,6 @@
 //! Command line parsing.
 
+use front::RelayMode;
 use getopts::Options;
 use std::fmt;
 use std::path::PathBuf;
@@ -7,11 +8,13 @@
 /// Help text.
 pub(crate) const USAGE: &str = "\
 usage: ebonytrestle --settings FILE [--check]
-       ebonytrestle --platform NAME [--settings FILE] [--check]
+       ebonytrestle --platform NAME [--settings FILE] [--relay MODE] [--check]
 
     -s, --settings FILE  settings in JSON
     -p, --platform NAME  run on a platform, with settings in the platform's format;
                          without --settings, the platform's variable has the path
+        --relay MODE     with --platform: relay requests between the hosts of a failure
+                         domain: off (the default), on, or auto
         --check          print the checked settings and exit
     -h, --help           print this help
     -V, --version        print the version
@@ -34,6 +37,8 @@
         settings: Option<PathBuf>,
         /// Whether to print the checked settings instead of running the host.
         check_only: bool,
+        /// Whether the host relays requests.
+        relay: RelayMode,
     },
     /// Print the help text.
     Help,
@@ -57,6 +62,7 @@
     options
         .optopt("s", "settings", "", "FILE")
         .optopt("p", "platform", "", "NAME")
+        .optopt("", "relay", "", "MODE")
         .optflag("", "check", "")
         .optflag("h", "help", "")
         .optflag("V", "version", "");
@@ -72,13 +78,20 @@
     if let Some(argument) = matches.free.first() {
         return Err(UsageError(format!("unexpected argument `{argument}`")));
     }
+    let relay = matches.opt_str("relay").map(|mode| mode.parse());
+    let relay = relay.transpose();
+    let relay: Option<RelayMode> = relay.map_err(|error| UsageError(format!("{error}")))?;
     if let Some(platform) = matches.opt_str("platform") {
         return Ok(Command::ServeOnPlatform {
             platform,
             settings: matches.opt_str("settings").map(PathBuf::from),
             check_only: matches.opt_present("check"),
+            relay: relay.unwrap_or_default(),
         });
     }
+    if relay.is_some() {
+        return Err(UsageError("--relay needs --platform".to_owned()));
+    }
     let Some(path) = matches.opt_str("settings") else {
         return Err(UsageError("--settings is required".to_owned()));
     };
--- a/crates/front/src/adapter.rs
+++ b/crates/front/src/adapter.rs
@@ -4,6 +4,7 @@
 use fleet::UpstreamEntry;
 use grant::GrantCall;
 use kernel::{DomainName, NamedPlugin, UpstreamId, inventory};
+use relay::RelayMode;
 use sheet::RouteSheet;
 use std::fmt;
 use std::net::SocketAddr;
@@ -32,6 +33,8 @@
     pub link_mbps: u32,
     /// Timeouts and limits that the deployment sets.
     pub bounds: FrontBounds,
+    /// Whether the host relays requests, at the port next to that of `internal`.
+    pub relay: RelayMode,
 }
 
 /// Processor share, in thousandths of a core, that a leader needs for each Mbit/s of
--- a/crates/front/src/body_memory.rs
+++ b/crates/front/src/body_memory.rs
@@ -174,6 +174,20 @@
         }
     }
 
+    /// Returns the same memory for bodies that may be held only while all bodies together
+    /// take at most a part of it, so that there is room for others.
+    pub(crate) fn with_part(&self, parts: u64) -> Self {
+        Self {
+            max_total: self.max_total / parts,
+            held_bytes: Arc::clone(&self.held_bytes),
+        }
+    }
+
+    /// Returns whether at least half of the memory is held.
+    pub(crate) fn is_half_full(&self) -> bool {
+        self.held_bytes.load(Ordering::Relaxed) >= self.max_total / 2
+    }
+
     /// Returns an empty body.
     pub(crate) fn empty_body(&self) -> HeldBody {
         HeldBody {
--- a/crates/front/src/client_connection.rs
+++ b/crates/front/src/client_connection.rs
@@ -431,7 +431,7 @@
 }
 
 /// Waits until the client has closed its connection.
-async fn wait_for_close(stream: TcpStream) {
+pub(crate) async fn wait_for_close(stream: TcpStream) {
     let mut byte = [0_u8; 1];
     match stream.peek(&mut byte).await {
         Ok(0) | Err(_) => {}
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -5,6 +5,7 @@
 use crate::budgets::RetryBudgets;
 use crate::exchange::Exchanger;
 use crate::metrics::FrontMetrics;
+use crate::relay_client::{AttemptFacts, RelayClient};
 use crate::request::{ClientRequest, ResolvedRequest};
 use crate::view::{FrontView, SharedView};
 use fleet::{KnownUpstream, Presence, UpstreamEntry};
@@ -61,6 +62,8 @@
     pub domain: DomainName,
     pub bounds: SharedBounds,
     pub metrics: FrontMetrics,
+    /// `None` if this host uses no relays.
+    pub relay: Option<RelayClient>,
 }
 
 impl DispatchState {
@@ -80,7 +83,7 @@
     ///
     /// An upstream accepts a number of connections from all hosts together, and resets
     /// what is beyond it.
-    fn max_requests(&self, service: &ServiceName) -> u32 {
+    pub(crate) fn max_requests(&self, service: &ServiceName) -> u32 {
         let view = self.view.load();
         let sheet = view.sheet.as_ref();
         let Some(service) = sheet.and_then(|sheet| sheet.services.get(service)) else {
@@ -257,7 +260,11 @@
             history.sends += 1;
             let is_repeat = history.tried_upstreams.contains(&entry.id);
             history.tried_upstreams.push(entry.id.clone());
-            let outcome = self.send(request, &entry, is_repeat, expected).await;
+            let attempt = AttemptFacts {
+                is_repeat,
+                may_have_run: history.uncertain_cause.is_some(),
+            };
+            let outcome = self.send(request, &entry, attempt, expected).await;
             if outcome.is_ok() {
                 let now = state.clock.now();
                 let mut quarantine = state.quarantine.lock();
@@ -299,7 +306,7 @@
         &self,
         request: &ResolvedRequest,
         entry: &UpstreamEntry,
-        is_repeat: bool,
+        attempt: AttemptFacts,
         expected: Duration,
     ) -> Result<UpstreamAnswer, Cause> {
         let state = &self.state;
@@ -323,10 +330,20 @@
             report: None,
         };
         let max_requests = state.max_requests(&entry.service);
-        let exchanging = state
-            .exchanger
-            .exchange(entry, request, is_repeat, max_requests);
-        let exchanged = exchanging.await;
+        let outgoing = request.outgoing();
+        let exchanged = match &state.relay {
+            Some(relay) => {
+                relay
+                    .exchange(&state.exchanger, entry, &outgoing, attempt, max_requests)
+                    .await
+            }
+            None => {
+                state
+                    .exchanger
+                    .exchange(entry, &outgoing, attempt.is_repeat, max_requests)
+                    .await
+            }
+        };
         guard.outcome = exchanged.outcome;
         guard.report = exchanged.report;
         drop(guard);
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -3,12 +3,13 @@
 use crate::adapter::HeaderNames;
 use crate::answer::UpstreamAnswer;
 use crate::body_memory::{BodyError, BodyMemory, HeldBody};
+use crate::metrics::FrontMetrics;
 use crate::pool::{ConnectionChoice, ConnectionPool, ReadyConnection};
-use crate::request::ResolvedRequest;
+use crate::request::OutgoingRequest;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use fleet::UpstreamEntry;
-use h1::{Connection, HeadLimits, ResponseHead};
+use h1::{Connection, HeadLimits, HeaderList, ResponseHead};
 use kernel::{Cause, Clock};
 use log::warn;
 use place::{LoadReport, RequestOutcome};
@@ -32,6 +33,20 @@
     pub memory: BodyMemory,
     /// Maximum size of the body of one answer, in bytes.
     pub max_answer: u64,
+    pub metrics: FrontMetrics,
+}
+
+/// An exchange that brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ExchangeFailure {
+    pub cause: Cause,
+    pub outcome: RequestOutcome,
+}
+
+impl ExchangeFailure {
+    pub(crate) const fn new(cause: Cause, outcome: RequestOutcome) -> Self {
+        Self { cause, outcome }
+    }
 }
 
 /// The result of one exchange.
@@ -52,37 +67,49 @@
     }
 }
 
+impl From<ExchangeFailure> for ExchangeResult {
+    fn from(failure: ExchangeFailure) -> Self {
+        Self::failed(failure.cause, failure.outcome)
+    }
+}
+
 impl Exchanger {
-    /// Sends a request to an upstream and reads its complete answer; keeps up to
-    /// `max_idle` connections to the upstream.
+    /// Sends a request to an upstream and judges its complete answer; the parameters are
+    /// those of [`Self::fetch`].
+    pub(crate) async fn exchange(
+        &self,
+        entry: &UpstreamEntry,
+        request: &OutgoingRequest<'_>,
+        is_repeat: bool,
+        max_idle: u32,
+    ) -> ExchangeResult {
+        match self.fetch(entry, request, is_repeat, max_idle).await {
+            Ok(answer) => self.judge(answer),
+            Err(failure) => failure.into(),
+        }
+    }
+
+    /// Sends a request to an upstream and reads its complete answer, which may be a
+    /// rejection; keeps up to `max_idle` connections to the upstream.
     ///
     /// `is_repeat` says that the upstream may have answered an earlier attempt of the
     /// request. Both attempts have the same id, so that a copy of that answer would pass
     /// for one to this attempt; a new connection carries none.
-    pub(crate) async fn exchange(
+    pub(crate) async fn fetch(
         &self,
         entry: &UpstreamEntry,
-        request: &ResolvedRequest,
+        request: &OutgoingRequest<'_>,
         is_repeat: bool,
         max_idle: u32,
-    ) -> ExchangeResult {
+    ) -> Result<UpstreamAnswer, ExchangeFailure> {
         let now = self.clock.now();
         let remaining = request.deadline - now;
-        let choice = if is_repeat {
-            ConnectionChoice::New
-        } else if request.is_idempotent() {
-            ConnectionChoice::Idle
-        } else {
-            ConnectionChoice::RecentlyUsed
-        };
+        let choice = connection_choice(is_repeat, request.is_idempotent);
         let connecting = self
             .pool
             .take(now, &entry.id, entry.address, choice, remaining);
-        let ReadyConnection {
-            mut connection,
-            is_new,
-        } = match connecting.await {
-            Ok(ready) => ready,
+        match connecting.await {
+            Ok(ready) => self.fetch_over(ready, entry, request, max_idle).await,
             Err(error) => {
                 self.pool.clear(&entry.id);
                 warn!(
@@ -90,19 +117,38 @@
                     "upstream={} address={} request={} state=unreachable error=\"{error}\"",
                     entry.id, entry.address, request.id,
                 );
-                return ExchangeResult::failed(
+                Err(ExchangeFailure::new(
                     Cause::UpstreamUnreachable,
                     RequestOutcome::Unreachable,
-                );
+                ))
             }
-        };
-        let remaining = request.deadline - self.clock.now();
+        }
+    }
+
+    /// Like [`Self::fetch`], over a connection that is ready.
+    pub(crate) async fn fetch_over(
+        &self,
+        ready: ReadyConnection,
+        entry: &UpstreamEntry,
+        request: &OutgoingRequest<'_>,
+        max_idle: u32,
+    ) -> Result<UpstreamAnswer, ExchangeFailure> {
+        let now = self.clock.now();
+        let ReadyConnection {
+            mut connection,
+            is_new,
+        } = ready;
+        self.record_way(request, is_new);
+        let remaining = request.deadline - now;
         if remaining < MIN_REMAINING_TIME {
             self.pool.put(now, &entry.id, connection, None, max_idle);
-            return ExchangeResult::failed(Cause::DeadlineUnreachable, RequestOutcome::Abandoned);
+            return Err(ExchangeFailure::new(
+                Cause::DeadlineUnreachable,
+                RequestOutcome::Abandoned,
+            ));
         }
         let mut bytes = request.encode_head(&self.names, entry.id.as_str(), remaining);
-        let blocks = request.body().blocks_behind(&mut bytes);
+        let blocks = request.body.blocks_behind(&mut bytes);
         let exchange = async {
             connection.write(&bytes).await?;
             for block in blocks {
@@ -114,7 +160,10 @@
         let head = match timeout(remaining, exchange).await {
             Ok(Ok(Some(head))) => head,
             Ok(Ok(None) | Err(h1::Error::Malformed(_) | h1::Error::HeadTooLarge)) => {
-                return ExchangeResult::failed(Cause::AnswerInvalid, RequestOutcome::Lost);
+                return Err(ExchangeFailure::new(
+                    Cause::AnswerInvalid,
+                    RequestOutcome::Lost,
+                ));
             }
             Ok(Err(_)) => {
                 self.pool.clear(&entry.id);
@@ -123,32 +172,47 @@
                 } else {
                     RequestOutcome::Lost
                 };
-                return ExchangeResult::failed(Cause::UpstreamLost, outcome);
+                return Err(ExchangeFailure::new(Cause::UpstreamLost, outcome));
             }
             Err(_elapsed) => {
-                return ExchangeResult::failed(Cause::UpstreamTimeout, RequestOutcome::Abandoned);
+                return Err(ExchangeFailure::new(
+                    Cause::UpstreamTimeout,
+                    RequestOutcome::Abandoned,
+                ));
             }
         };
         self.read_answer(entry, request, connection, head, max_idle)
             .await
     }
 
+    fn record_way(&self, request: &OutgoingRequest<'_>, is_new: bool) {
+        if is_new {
+            self.metrics.connections_opened.inc();
+        }
+        if !request.is_relayed {
+            let way = if is_new { "new" } else { "own" };
+            self.metrics.sends.with_label_values(&[way]).inc();
+        }
+    }
+
     /// Reads the head of the answer to this request; returns `None` if there are only
     /// answers to other requests.
     async fn read_matching_head(
         &self,
         connection: &mut Connection<TcpStream>,
-        request: &ResolvedRequest,
+        request: &OutgoingRequest<'_>,
         is_new: bool,
     ) -> h1::Result<Option<ResponseHead>> {
         let limits = HeadLimits::default();
         for _stray in 0..MAX_STRAY_ANSWERS {
-            let head = connection.read_response(&limits, &request.method).await?;
+            let head = connection.read_response(&limits, request.method).await?;
             match head.headers.get(self.names.request_id) {
                 Some(id) if id == request.id.as_str() => return Ok(Some(head)),
                 // On a connection that was in use before, it may be a late copy of the
                 // answer to an earlier request.
-                None if is_new && self.is_not_run(&head) => return Ok(Some(head)),
+                None if is_new && self.is_not_run(head.status, &head.headers) => {
+                    return Ok(Some(head));
+                }
                 None => return Ok(None),
                 Some(_) => {}
             }
@@ -179,33 +243,38 @@
             .await
     }
 
-    fn is_not_run(&self, head: &ResponseHead) -> bool {
-        head.status == 421 || head.headers.get(self.names.not_run).is_some()
+    fn is_not_run(&self, status: u16, headers: &HeaderList) -> bool {
+        status == 421 || headers.get(self.names.not_run).is_some()
     }
 
     async fn read_answer(
         &self,
         entry: &UpstreamEntry,
-        request: &ResolvedRequest,
+        request: &OutgoingRequest<'_>,
         mut connection: Connection<TcpStream>,
         head: ResponseHead,
         max_idle: u32,
-    ) -> ExchangeResult {
-        let report = head.headers.get(self.names.load).and_then(parse_load);
+    ) -> Result<UpstreamAnswer, ExchangeFailure> {
         let remaining = request.deadline - self.clock.now();
         let reading = self.read_body(&mut connection, &head);
         let mut is_reusable = head.keeps_alive;
         let body = match timeout(remaining, reading).await {
             Ok(Ok(body)) => body,
-            _ if self.is_not_run(&head) => {
+            _ if self.is_not_run(head.status, &head.headers) => {
                 is_reusable = false;
                 self.memory.empty_body()
             }
             Ok(Err(_)) => {
-                return ExchangeResult::failed(Cause::AnswerInvalid, RequestOutcome::Lost);
+                return Err(ExchangeFailure::new(
+                    Cause::AnswerInvalid,
+                    RequestOutcome::Lost,
+                ));
             }
             Err(_elapsed) => {
-                return ExchangeResult::failed(Cause::UpstreamTimeout, RequestOutcome::Abandoned);
+                return Err(ExchangeFailure::new(
+                    Cause::UpstreamTimeout,
+                    RequestOutcome::Abandoned,
+                ));
             }
         };
         if is_reusable {
@@ -218,8 +287,21 @@
                 max_idle,
             );
         }
-        if self.is_not_run(&head) {
-            let (cause, outcome) = match head.status {
+        let is_bodiless = request.method == "HEAD" || matches!(head.status, 204 | 304);
+        Ok(UpstreamAnswer {
+            status: head.status,
+            headers: head.headers,
+            body,
+            is_bodiless,
+        })
+    }
+
+    /// Judges an upstream's answer: whether it ran the request, and whether the answer is
+    /// one that a client may get.
+    pub(crate) fn judge(&self, answer: UpstreamAnswer) -> ExchangeResult {
+        let report = answer.headers.get(self.names.load).and_then(parse_load);
+        if self.is_not_run(answer.status, &answer.headers) {
+            let (cause, outcome) = match answer.status {
                 421 => (Cause::KeyMisplaced, RequestOutcome::Misplaced),
                 429 | 503 => (Cause::UpstreamRefused, RequestOutcome::Full),
                 _ => (Cause::UpstreamRefused, RequestOutcome::Abandoned),
@@ -229,34 +311,39 @@
                 ..ExchangeResult::failed(cause, outcome)
             };
         }
-        let is_success = (200..300).contains(&head.status);
-        let has_stamp = head.headers.get(self.names.stamp).is_some();
-        let is_encoded = head.headers.get("content-encoding").is_some();
+        let is_success = (200..300).contains(&answer.status);
+        let has_stamp = answer.headers.get(self.names.stamp).is_some();
+        let is_encoded = answer.headers.get("content-encoding").is_some();
         if is_success && (!has_stamp || is_encoded) {
             return ExchangeResult {
                 report,
                 ..ExchangeResult::failed(Cause::AnswerInvalid, RequestOutcome::Failed)
             };
         }
-        let outcome = if head.status >= 500 {
+        let outcome = if answer.status >= 500 {
             RequestOutcome::Failed
         } else {
             RequestOutcome::Answered
         };
-        let is_bodiless = request.method == "HEAD" || matches!(head.status, 204 | 304);
         ExchangeResult {
-            result: Ok(UpstreamAnswer {
-                status: head.status,
-                headers: head.headers,
-                body,
-                is_bodiless,
-            }),
+            result: Ok(answer),
             outcome,
             report,
         }
     }
 }
 
+/// Returns which connections serve for a request.
+pub(crate) const fn connection_choice(is_repeat: bool, is_idempotent: bool) -> ConnectionChoice {
+    if is_repeat {
+        ConnectionChoice::New
+    } else if is_idempotent {
+        ConnectionChoice::Idle
+    } else {
+        ConnectionChoice::RecentlyUsed
+    }
+}
+
 /// Parses the load header: "running, waiting, slots".
 fn parse_load(text: &str) -> Option<LoadReport> {
     let mut numbers = text.split(',').map(|part| part.trim().parse().ok());
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -17,6 +17,8 @@
 use crate::peers::PeerRegistry;
 use crate::pool::ConnectionPool;
 use crate::random::RandomSource;
+use crate::relay_client::RelayClient;
+use crate::relay_server::{RelayServer, max_in_flight};
 use crate::replica::{FollowedTable, StoreReplica};
 use crate::reports::ReportChannel;
 use crate::send_budget::SendBudget;
@@ -30,6 +32,7 @@
 use log::info;
 use parking_lot::Mutex;
 use place::{MoveTracker, UpstreamSelector};
+use relay::{RelayAdmission, RelayMode, program_version};
 use retry::QuarantineList;
 use std::fmt;
 use std::io;
@@ -101,6 +104,7 @@
     dispatcher: Dispatcher,
     is_stopping: Arc<AtomicBool>,
     scope: TaskScope,
+    relay: Option<RelayServer>,
 }
 
 #[derive(Debug)]
@@ -219,6 +223,7 @@
                     names: *self.platform.headers(),
                     memory: BodyMemory::new(memory_bytes / TOTAL_ANSWER_FRACTION),
                     max_answer: memory_bytes / ANSWER_FRACTION,
+                    metrics: self.metrics.clone(),
                 },
                 budgets: RetryBudgets::new(Arc::clone(&self.bounds)),
                 quarantine: Mutex::new(QuarantineList::new(SUSPECT_DURATION)),
@@ -227,10 +232,48 @@
                 domain: self.settings.domain.clone(),
                 bounds: Arc::clone(&self.bounds),
                 metrics: self.metrics.clone(),
+                relay: self.build_relay_client(),
             }),
         }
     }
 
+    fn build_relay_client(&self) -> Option<RelayClient> {
+        let settings = &self.settings;
+        if settings.relay == RelayMode::Off {
+            return None;
+        }
+        Some(RelayClient {
+            mode: settings.relay,
+            host: settings.name.clone(),
+            port: relay_address(settings).port(),
+            program: program_version(env!("CARGO_PKG_VERSION")),
+            peers: Arc::clone(&self.peers),
+            admission: RelayAdmission::new(max_in_flight(self.memory_bytes())),
+            links: ConnectionPool::default(),
+            avoided: Mutex::default(),
+            rates: Mutex::default(),
+        })
+    }
+
+    /// Starts to relay requests of other hosts, if this host does.
+    async fn spawn_relay(
+        &self,
+        dispatcher: &Dispatcher,
+        memory: &BodyMemory,
+    ) -> Result<Option<RelayServer>, StartFailure> {
+        let Some(server) = RelayServer::new(&dispatcher.state, memory) else {
+            return Ok(None);
+        };
+        let listener = Arc::new(listen(relay_address(&self.settings)).await?);
+        let (accepting, connections) = (server.clone(), self.scope.clone());
+        self.scope.spawn_restarting("relay", move || {
+            accepting
+                .clone()
+                .accept(Arc::clone(&listener), connections.clone())
+        });
+        Ok(Some(server))
+    }
+
     fn spawn_pages(&self, ready: TcpListener, metrics: TcpListener, replica: &Arc<StoreReplica>) {
         let ready_page = Arc::new(ReadyPage {
             replica: Arc::clone(replica),
@@ -324,6 +367,7 @@
         let replica = context.build_replica();
         let dispatcher = context.build_dispatcher();
         let request_memory = BodyMemory::new(context.memory_bytes() / REQUEST_FRACTION);
+        let relay = context.spawn_relay(&dispatcher, &request_memory).await?;
         let clients = ClientServer::new(dispatcher.clone(), request_memory);
         let scope = &context.scope;
         let (listener, server) = (Arc::new(sockets.clients), clients.clone());
@@ -370,6 +414,7 @@
             dispatcher: host_dispatcher,
             is_stopping: context.is_stopping,
             scope: context.scope,
+            relay,
         })
     }
 
@@ -392,6 +437,7 @@
             ("processor", updated.millicores != current.millicores),
             ("memory", updated.memory_mb != current.memory_mb),
             ("link", updated.link_mbps != current.link_mbps),
+            ("relay", updated.relay != current.relay),
         ];
         let after_restart = changes.into_iter().filter(|(_, is_changed)| *is_changed);
         after_restart.map(|(name, _)| name).collect()
@@ -406,20 +452,23 @@
         info!(target: "host", "host={} state=stopping", self.settings.name);
         self.is_stopping.store(true, Ordering::SeqCst);
         self.clients.stop();
+        if let Some(relay) = &self.relay {
+            relay.stop();
+        }
         let max_duration = self.bounds.load().stop.mul_f64(STOP_FRACTION);
         let notice_duration = BALANCER_NOTICE_DURATION.min(max_duration / 2);
         async_std::task::sleep(notice_duration).await;
         self.clients.close();
         let mut elapsed = notice_duration;
         loop {
-            while self.clients.in_flight() > 0 && elapsed < max_duration {
+            while self.in_flight() > 0 && elapsed < max_duration {
                 async_std::task::sleep(STOP_POLL_INTERVAL).await;
                 elapsed += STOP_POLL_INTERVAL;
             }
             async_std::task::sleep(LINGER_DURATION).await;
             elapsed += LINGER_DURATION;
             // A request may have arrived while the last answers left.
-            if self.clients.in_flight() == 0 || elapsed >= max_duration {
+            if self.in_flight() == 0 || elapsed >= max_duration {
                 break;
             }
         }
@@ -427,9 +476,15 @@
         info!(
             target: "host",
             "host={} state=stopped in_flight={}",
-            self.settings.name, self.clients.in_flight(),
+            self.settings.name, self.in_flight(),
         );
     }
+
+    /// Returns the number of requests of clients and of other hosts in flight.
+    fn in_flight(&self) -> u64 {
+        let relayed = self.relay.as_ref().map_or(0, RelayServer::in_flight);
+        self.clients.in_flight() + relayed
+    }
 }
 
 fn spawn_pages(
@@ -460,6 +515,12 @@
     }
 }
 
+/// Returns the address at which a host relays requests.
+fn relay_address(settings: &FrontSettings) -> SocketAddr {
+    let port = settings.internal.port().saturating_add(1);
+    SocketAddr::new(settings.internal.ip(), port)
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartFailure> {
     TcpListener::bind(address)
         .await
@@ -479,6 +540,9 @@
             .exchanger
             .pool
             .prune(now, |id| view.upstreams.contains_key(id));
+        if let Some(relay) = &state.relay {
+            relay.prune(now, |id| view.upstreams.contains_key(id));
+        }
         state.moves.lock().prune(now);
         let probes = state.selector.lock().drain_probes(now, MAX_SWEEP_PROBES);
         for id in probes {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -39,6 +39,9 @@
 mod peers;
 mod pool;
 mod random;
+mod relay_client;
+mod relay_list;
+mod relay_server;
 mod replica;
 mod reports;
 mod request;
@@ -52,3 +55,4 @@
 };
 pub use host::{FrontHost, StartFailure};
 pub use logs::LineLog;
+pub use relay::RelayMode;
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -4,6 +4,7 @@
 //! `postcard` encoding. A message of owners names each upstream once, as repeated names
 //! would be most of its bytes.
 
+use crate::relay_list::{WireHostList, WireRelayOffer};
 use crate::wire_load::{WireLoad, WireObservation};
 use fleet::{EntryChange, ReportedState, UpstreamEntry};
 use grant::{PreviousTerm, WireOwners};
@@ -21,7 +22,7 @@
 pub(crate) const MAX_SHEET_BYTES: usize = MAX_DATAGRAM_BYTES - (8 << 10);
 /// First byte of every message. A message with another format comes from a host that
 /// runs another version of the program during an upgrade.
-const FORMAT: u8 = 11;
+const FORMAT: u8 = 12;
 
 /// A message that could not be encoded or decoded.
 #[derive(Debug)]
@@ -99,6 +100,8 @@
     pub reaches_store: bool,
     /// The versions that the host knows.
     pub known: KnownVersions,
+    /// The host's offer to relay requests; `None` if it uses no relays.
+    pub relay: Option<WireRelayOffer>,
 }
 
 /// The versions of the store's rows that a host knows.
@@ -252,6 +255,8 @@
     pub standbys: Vec<String>,
     /// Addresses of all hosts, for a standby that may have to lead.
     pub host_addresses: Vec<SocketAddr>,
+    /// The hosts of the receiver's domain that relay, if it does not know them.
+    pub relay_hosts: Option<WireHostList>,
 }
 
 impl LeaderReply {
@@ -263,6 +268,7 @@
             owners: Vec::new(),
             fleet_loads: Vec::new(),
             host_addresses: Vec::new(),
+            relay_hosts: None,
             standbys: self.standbys.clone(),
             successor: self.successor.clone(),
             entries_base,
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -26,6 +26,15 @@
     pub is_leader: IntGauge,
     /// Version of the sheet in force.
     pub sheet_version: IntGauge,
+    /// Sends of this host's requests, by way: `own` for a warm connection of its own,
+    /// `relayed`, or `new` for a new connection.
+    pub sends: IntCounterVec,
+    /// Connections opened to upstreams for requests, also for those of other hosts.
+    pub connections_opened: IntCounter,
+    /// Requests that a relay did not answer, by reason.
+    pub relay_failures: IntCounterVec,
+    /// Requests that this host was asked to relay, by verdict.
+    pub relayed_for_others: IntCounterVec,
 }
 
 impl FrontMetrics {
@@ -49,6 +58,21 @@
             Opts::new("trestle_store_calls_total", "Calls to the platform's store"),
             &["call", "table"],
         )?;
+        let sends = IntCounterVec::new(
+            Opts::new("trestle_sends_total", "Sends to upstreams"),
+            &["way"],
+        )?;
+        let relay_failures = IntCounterVec::new(
+            Opts::new("trestle_relay_failures_total", "Unanswered by a relay"),
+            &["reason"],
+        )?;
+        let relayed_for_others = IntCounterVec::new(
+            Opts::new("trestle_relayed_for_others_total", "Relayed requests"),
+            &["verdict"],
+        )?;
+        for vector in [&sends, &relay_failures, &relayed_for_others] {
+            registry.register(Box::new(vector.clone()))?;
+        }
         registry.register(Box::new(store_calls.clone()))?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
@@ -70,6 +94,13 @@
             store_failures: counter("trestle_store_failures_total", "Failed store calls")?,
             is_leader: gauge("trestle_is_leader", "1 while this host grants keys")?,
             sheet_version: gauge("trestle_sheet_version", "Version of the sheet in force")?,
+            sends,
+            connections_opened: counter(
+                "trestle_connections_opened_total",
+                "Connections opened to upstreams",
+            )?,
+            relay_failures,
+            relayed_for_others,
             registry,
         })
     }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -2,6 +2,7 @@
 
 use crate::message::{HostReport, KnownVersions, LeaderReply};
 use crate::random::RandomSource;
+use crate::relay_list::RelayLists;
 use crate::wire_load::WireLoad;
 use async_channel::{Receiver, Sender, bounded};
 use async_std::future::timeout;
@@ -10,6 +11,7 @@
 use kernel::{Clock, DomainName, Moment, ServiceName, UpstreamId};
 use parking_lot::Mutex;
 use place::{FleetLoads, ObservedLoad};
+use relay::RelayHost;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,6 +52,8 @@
     address: SocketAddr,
     reaches_store: bool,
     known: KnownVersions,
+    /// Where the host relays requests, if it does.
+    relay: Option<RelayHost>,
 }
 
 /// What this host knows of the leader and, while it leads, of the other hosts.
@@ -61,6 +65,7 @@
     wake_sender: Sender<()>,
     wake_receiver: Receiver<()>,
     state: Mutex<PeerState>,
+    pub relay_lists: RelayLists,
 }
 
 /// What the lease showed when this host started.
@@ -158,6 +163,7 @@
                 loads_offset: 0,
                 decayed_at,
             }),
+            relay_lists: RelayLists::default(),
         }
     }
 
@@ -345,6 +351,17 @@
         hosts.collect()
     }
 
+    /// Returns the hosts of a failure domain that have reported recently and relay.
+    pub(crate) fn relay_hosts(&self, domain: &DomainName) -> Vec<RelayHost> {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let live = state
+            .hosts
+            .values()
+            .filter(|host| now - host.last_seen_at < HOST_TTL && host.domain == *domain);
+        live.filter_map(|host| host.relay.clone()).collect()
+    }
+
     /// Applies a message of the leader; returns whether it was current.
     pub(crate) fn apply_reply(
         &self,
@@ -523,6 +540,10 @@
             address,
             reaches_store: report.reaches_store,
             known: report.known.clone(),
+            relay: report
+                .relay
+                .as_ref()
+                .and_then(|offer| offer.host(&report.host, address)),
         };
         state.hosts.insert(report.host.clone(), host);
         for (service, keys) in &report.loads {
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -15,7 +15,7 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_500);
 /// Maximum idle time of a connection on which a request that must not run twice is
 /// sent.
-const MAX_FRESH_IDLE: Duration = Duration::from_secs(1);
+pub(crate) const MAX_FRESH_IDLE: Duration = Duration::from_secs(1);
 /// Maximum time to establish a connection: a round trip within a region and the
 /// retransmission of one lost packet.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(320);
@@ -89,6 +89,35 @@
         })
     }
 
+    /// Returns a pooled connection that `choice` allows and that shows no sign of having
+    /// been closed; one that is too old only for this choice stays in the pool.
+    pub(crate) fn take_idle(
+        &self,
+        now: Moment,
+        id: &UpstreamId,
+        choice: ConnectionChoice,
+    ) -> Option<ReadyConnection> {
+        if choice == ConnectionChoice::New {
+            return None;
+        }
+        let mut pool = self.idle.lock();
+        let connections = pool.get_mut(id)?;
+        while let Some(last) = connections.last() {
+            let must_be_fresh = choice == ConnectionChoice::RecentlyUsed;
+            if must_be_fresh && now - last.idle_since > MAX_FRESH_IDLE {
+                return None;
+            }
+            let idle = connections.pop()?;
+            if now < idle.expires_at && is_idle(idle.connection.stream()) {
+                return Some(ReadyConnection {
+                    connection: idle.connection,
+                    is_new: false,
+                });
+            }
+        }
+        None
+    }
+
     fn pop(&self, id: &UpstreamId) -> Option<IdleConnection> {
         self.idle.lock().get_mut(id)?.pop()
     }
@@ -106,9 +135,7 @@
         if connection.has_buffered_bytes() {
             return;
         }
-        let duration = keep_alive
-            .and_then(parse_keep_alive)
-            .unwrap_or(DEFAULT_KEEP_ALIVE);
+        let idle_life = idle_life(keep_alive);
         let mut idle = self.idle.lock();
         let connections = idle.entry(id.clone()).or_default();
         if connections.len() >= max_idle as usize {
@@ -117,7 +144,7 @@
         connections.push(IdleConnection {
             connection,
             idle_since: now,
-            expires_at: now + duration.saturating_sub(KEEP_ALIVE_MARGIN),
+            expires_at: now + idle_life,
         });
     }
 
@@ -136,6 +163,14 @@
     }
 }
 
+/// Returns how long an idle connection may be used, by the last answer's `Keep-Alive`
+/// header.
+pub(crate) fn idle_life(keep_alive: Option<&str>) -> Duration {
+    let announced = keep_alive.and_then(parse_keep_alive);
+    let duration = announced.unwrap_or(DEFAULT_KEEP_ALIVE);
+    duration.saturating_sub(KEEP_ALIVE_MARGIN)
+}
+
 /// Parses the timeout of a `Keep-Alive` header.
 fn parse_keep_alive(text: &str) -> Option<Duration> {
     for part in text.split(',') {
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -11,6 +11,7 @@
     WirePreviousTerm, WireSheet,
 };
 use crate::peers::PeerRegistry;
+use crate::relay_client::RelayClient;
 use crate::replica::StoreReplica;
 use crate::send_budget::SendBudget;
 use crate::wire_load::{WireLoad, WireObservation};
@@ -70,6 +71,7 @@
             };
             if self.socket.local_addr().ok() == Some(leader) {
                 self.apply_report(&report, leader);
+                self.update_own_relay_list(&report);
                 self.set_fleet_loads(&self.peers.next_fleet_loads());
                 continue;
             }
@@ -168,6 +170,7 @@
             } else {
                 Vec::new()
             },
+            relay_hosts: None,
         };
         let changes = self.replica.entry_changes_since(known.entries);
         let mut replies = vec![first];
@@ -242,6 +245,7 @@
                 entries: self.replica.entries_version(),
                 sheet: self.replica.sheet_version(),
             },
+            relay: state.relay.as_ref().map(RelayClient::offer),
         }
     }
 
@@ -304,12 +308,15 @@
                     if let Some(term) = self.peers.leading_term() {
                         let is_for_standby = self.peers.standbys().contains(&report.host);
                         let fleet_loads = self.peers.next_fleet_loads();
+                        let relay_hosts = self.relay_list_for(term, &report);
                         let known = if self.has_send_room() {
                             report.known
                         } else {
                             self.told_versions()
                         };
-                        let replies = self.replies(term, None, &known, is_for_standby, fleet_loads);
+                        let mut replies =
+                            self.replies(term, None, &known, is_for_standby, fleet_loads);
+                        replies[0].relay_hosts = relay_hosts;
                         for bytes in encode_all(replies) {
                             self.send(&bytes, peer).await;
                         }
@@ -326,6 +333,7 @@
                         .budgets
                         .set_host_count(reply.host_count);
                     self.set_fleet_loads(&reply.fleet_loads);
+                    self.peers.relay_lists.apply(reply.relay_hosts);
                     let changes = reply.entries.into_iter().map(EntryChange::from);
                     let changes: Vec<EntryChange> = changes.collect();
                     self.replica
--- a/crates/front/src/request.rs
+++ b/crates/front/src/request.rs
@@ -102,21 +102,18 @@
         })
     }
 
-    /// Encodes the request's head for one upstream, with the time left until its deadline.
-    pub(crate) fn encode_head(
-        &self,
-        names: &HeaderNames,
-        upstream: &str,
-        remaining: Duration,
-    ) -> Vec<u8> {
-        let mut headers = self.headers.clone();
-        headers.push(names.time_left, remaining.as_millis().to_string());
-        headers.push(names.target_upstream, upstream);
-        encode_request_head(&self.method, &self.target, &headers)
-    }
-
-    pub(crate) fn body(&self) -> &HeldBody {
-        &self.body
+    /// Returns the request as it is sent.
+    pub(crate) fn outgoing(&self) -> OutgoingRequest<'_> {
+        OutgoingRequest {
+            id: &self.id,
+            method: &self.method,
+            target: &self.target,
+            headers: &self.headers,
+            body: &self.body,
+            deadline: self.deadline,
+            is_idempotent: self.is_idempotent(),
+            is_relayed: false,
+        }
     }
 
     /// Returns a hash of the request's content, by which requests that crash upstreams
@@ -144,6 +141,36 @@
     }
 }
 
+/// A request as it is sent to an upstream or a relay: a client's, or one that this host
+/// relays.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct OutgoingRequest<'a> {
+    pub id: &'a RequestId,
+    pub method: &'a str,
+    pub target: &'a str,
+    pub headers: &'a HeaderList,
+    pub body: &'a HeldBody,
+    pub deadline: Moment,
+    pub is_idempotent: bool,
+    /// Whether this host relays it for another one.
+    pub is_relayed: bool,
+}
+
+impl OutgoingRequest<'_> {
+    /// Encodes the request's head for one upstream, with the time left until its deadline.
+    pub(crate) fn encode_head(
+        &self,
+        names: &HeaderNames,
+        upstream: &str,
+        remaining: Duration,
+    ) -> Vec<u8> {
+        let mut headers = self.headers.clone();
+        headers.push(names.time_left, remaining.as_millis().to_string());
+        headers.push(names.target_upstream, upstream);
+        encode_request_head(self.method, self.target, &headers)
+    }
+}
+
 /// Returns whether the `connection` header lists this header as hop-by-hop.
 fn is_listed_hop_header(headers: &HeaderList, name: &str) -> bool {
     let connection_tokens = headers.get("connection").unwrap_or_default();
