--- a/crates/ebonytrestle/tests/relay.rs
+++ b/crates/ebonytrestle/tests/relay.rs
@@ -198,3 +198,16 @@
         relay.signal(Signal::CONT);
     });
 }
+
+/// Guards against an option that is taken for another one, or has no effect.
+#[rstest]
+#[case::unknown_mode(&["--platform", "table-store", "--relay", "yes"])]
+#[case::without_mode(&["--platform", "table-store", "--relay"])]
+#[case::without_platform(&["--settings", "host.json", "--relay", "on"])]
+fn relay_option_invalid_usage_is_refused(#[case] arguments: &[&str]) {
+    let program = Command::new(env!("CARGO_BIN_EXE_ebonytrestle"))
+        .args(arguments)
+        .stderr(Stdio::null())
+        .status();
+    assert_eq!(program.expect("the program starts").code(), Some(2));
+}
--- a/crates/ebonytrestle/tests/soak/fleet.rs
+++ b/crates/ebonytrestle/tests/soak/fleet.rs
@@ -57,6 +57,8 @@
     pub has_process_fault: AtomicBool,
     /// Whether the process was killed or paused, so that clients may lose connections.
     pub may_cut_connections: AtomicBool,
+    /// Whether hosts relay requests for each other, as on the command line.
+    relay_mode: &'static str,
 }
 
 /// A simulated upstream and the relay in front of it.
@@ -78,6 +80,7 @@
     pub store_faults: Mutex<Vec<(Instant, Instant)>>,
     pub sheet_version: AtomicU32,
     seed: u64,
+    relay_mode: &'static str,
 }
 
 impl HostProcess {
@@ -85,7 +88,7 @@
         let plugin = find_plugin::<PlatformPlugin>("table-store").expect("registered");
         let log = File::options().append(true).create(true).open(&self.log);
         let child = Command::new(env!("CARGO_BIN_EXE_ebonytrestle"))
-            .args(["--platform", plugin.name])
+            .args(["--platform", plugin.name, "--relay", self.relay_mode])
             .env(plugin.settings_variable, &self.settings)
             .stdout(log.expect("the log can be written"))
             .stderr(Stdio::null())
@@ -193,7 +196,7 @@
 }
 
 impl Fleet {
-    pub async fn start(seed: u64, size: FleetSize) -> Self {
+    pub async fn start(seed: u64, size: FleetSize, relay_mode: &'static str) -> Self {
         platform::register();
         let store = FakeStore::new();
         store.set("op", "config", &sheet(1));
@@ -205,6 +208,7 @@
             sheet_version: AtomicU32::new(1),
             store,
             seed,
+            relay_mode,
         };
         for number in 0..size.sharded {
             fleet.add_upstream(&format!("k-{number}"), "keyed").await;
@@ -240,6 +244,7 @@
             child: Mutex::default(),
             has_process_fault: AtomicBool::new(false),
             may_cut_connections: AtomicBool::new(false),
+            relay_mode: self.relay_mode,
         };
         host.spawn();
         host
--- a/crates/ebonytrestle/tests/soak/main.rs
+++ b/crates/ebonytrestle/tests/soak/main.rs
@@ -4,7 +4,7 @@
 //! The guarantees are checked during and after a run, from what clients and upstreams
 //! observe. A short run is part of the test suite; more seeds are run by hand:
 //!
-//!     SOAK_SEEDS=100..150 SOAK_SECONDS=20 cargo test -p ebonytrestle --test soak -- --ignored
+//!     SOAK_SEEDS=100..150 SOAK_SECONDS=20 SOAK_RELAY=on cargo test -p ebonytrestle --test soak -- --ignored
 
 mod checks;
 mod clients;
@@ -30,8 +30,13 @@
 /// Seeds that are run by hand if `SOAK_SEEDS` is not set.
 const DEFAULT_SEEDS: std::ops::Range<u64> = 1..51;
 
-async fn soak(seed: u64, duration: Duration, size: FleetSize) -> Findings {
-    let fleet = Fleet::start(seed, size).await;
+async fn soak(
+    seed: u64,
+    duration: Duration,
+    size: FleetSize,
+    relay_mode: &'static str,
+) -> Findings {
+    let fleet = Fleet::start(seed, size, relay_mode).await;
     fleet.wait_until_serving().await;
     let clients = clients::start(&fleet);
     let ownership_watch = checks::watch_owners(&fleet);
@@ -48,9 +53,10 @@
 
 #[rstest]
 // The first seed, and seeds that have failed before, each named after its cause.
-#[case::first(1)]
-fn soak_short_run_has_no_violation(#[case] seed: u64) {
-    let findings = block_on(soak(seed, SHORT_RUN, FleetSize::SMALL));
+#[case::first(1, "off")]
+#[case::relaying(2, "on")]
+fn soak_short_run_has_no_violation(#[case] seed: u64, #[case] relay_mode: &'static str) {
+    let findings = block_on(soak(seed, SHORT_RUN, FleetSize::SMALL, relay_mode));
     assert!(findings.is_clean(), "{findings}");
 }
 
@@ -64,7 +70,7 @@
             sharded: 1,
             plain: 1,
         };
-        let fleet = Fleet::start(1_000 + u64::from(sends_signal), size).await;
+        let fleet = Fleet::start(1_000 + u64::from(sends_signal), size, "off").await;
         fleet.wait_until_serving().await;
         let host = &fleet.hosts[0];
         host.change_settings(|settings| settings["terms"]["bounds"]["drain_ms"] = 900.into());
@@ -95,6 +101,11 @@
         Ok("large") => FleetSize::LARGE,
         _ => FleetSize::SMALL,
     };
+    let relay_mode = match std::env::var("SOAK_RELAY").as_deref() {
+        Ok("on") => "on",
+        Ok("auto") => "auto",
+        _ => "off",
+    };
     let (sender, remaining_seeds) = async_channel::unbounded();
     for seed in seeds.unwrap_or(DEFAULT_SEEDS) {
         sender.try_send(seed).expect("unbounded");
@@ -103,7 +114,7 @@
     let run_worker = || async {
         let mut failed = Vec::new();
         while let Ok(seed) = remaining_seeds.recv().await {
-            let findings = soak(seed, Duration::from_secs(seconds), size).await;
+            let findings = soak(seed, Duration::from_secs(seconds), size, relay_mode).await;
             if !findings.is_clean() {
                 failed.push(seed);
             }
