Send lists of relaying hosts in a message of their own

The first reply may be full of owners; with a list it could exceed a datagram, and neither would be sent.

--- a/crates/front/src/relay_list.rs
+++ b/crates/front/src/relay_list.rs
@@ -1,6 +1,6 @@
 //! Lists of the hosts that relay: offers in reports, and lists in the leader's replies.
 
-use crate::message::HostReport;
+use crate::message::{HostReport, LeaderReply};
 use crate::reports::ReportChannel;
 use arc_swap::ArcSwap;
 use kernel::{Clock, DomainName};
@@ -133,3 +133,14 @@
         }
     }
 }
+
+/// Appends a message with a list of hosts. The others may be full of owners and entries,
+/// and a message that does not fit a datagram is not sent at all.
+pub(crate) fn push_relay_list(replies: &mut Vec<LeaderReply>, list: Option<WireHostList>) {
+    let Some(previous) = replies.last().filter(|_| list.is_some()) else {
+        return;
+    };
+    let mut reply = previous.continued(previous.entries_end(), Vec::new());
+    reply.relay_hosts = list;
+    replies.push(reply);
+}
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -12,6 +12,7 @@
 };
 use crate::peers::PeerRegistry;
 use crate::relay_client::RelayClient;
+use crate::relay_list::push_relay_list;
 use crate::replica::StoreReplica;
 use crate::send_budget::SendBudget;
 use crate::wire_load::{WireLoad, WireObservation};
@@ -316,7 +317,7 @@
                         };
                         let mut replies =
                             self.replies(term, None, &known, is_for_standby, fleet_loads);
-                        replies[0].relay_hosts = relay_hosts;
+                        push_relay_list(&mut replies, relay_hosts);
                         for bytes in encode_all(replies) {
                             self.send(&bytes, peer).await;
                         }
