--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -1,13 +1,19 @@
 //! Dispatch of client requests: resolve the route, select an upstream, send and retry.
 
+mod evacuation;
+
 use crate::adapter::SharedBounds;
 use crate::answer::UpstreamAnswer;
 use crate::budgets::RetryBudgets;
+use crate::cold_budget::ColdControl;
+use crate::cold_dispatch::{ColdTarget, split_cold};
 use crate::exchange::Exchanger;
 use crate::metrics::FrontMetrics;
+use crate::rank_loads::RankLoads;
 use crate::relay_client::{AttemptFacts, RelayClient};
 use crate::request::{ClientRequest, ResolvedRequest};
 use crate::view::{FrontView, SharedView};
+use cold::HeldToken;
 use fleet::{KnownUpstream, Presence, UpstreamEntry};
 use grant::{KeyCounts, OwnedRange};
 use indexmap::IndexMap;
@@ -28,7 +34,7 @@
 const MOVE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Default time after which a refused client should retry, such as while upstreams or
 /// owners are missing.
-const RETRY_AFTER: Duration = Duration::from_millis(400);
+pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Fraction of the target latency within which the answer must be expected when a
 /// request is sent; the rest covers the error of the estimate.
 const TARGET_LATENCY_FRACTION: f64 = 0.9;
@@ -62,6 +68,8 @@
     pub domain: DomainName,
     pub bounds: SharedBounds,
     pub metrics: FrontMetrics,
+    pub rank_loads: Mutex<RankLoads>,
+    pub cold: Arc<ColdControl>,
     /// `None` if this host uses no relays.
     pub relay: Option<RelayClient>,
 }
@@ -73,7 +81,7 @@
             id: entry.id.clone(),
             slots: entry.slots,
             is_local: entry.domain == self.domain,
-            is_cold: now < upstream.cold_until,
+            is_cold: self.cold.is_cold(now, upstream),
             max_requests: self.max_requests(&entry.service),
         }
     }
@@ -116,10 +124,22 @@
     failed_answer: Option<UpstreamAnswer>,
 }
 
+impl AttemptHistory {
+    /// Keeps a server error; one of an upstream that has run the request outweighs one
+    /// that says that it has not.
+    fn record_failed(&mut self, answer: UpstreamAnswer) {
+        if self.failed_answer.is_none() || !answer.says_not_run() {
+            self.failed_answer = Some(answer);
+        }
+    }
+}
+
 /// Where a request can go now.
 enum DispatchTarget {
     /// The upstream, and the expected time until its answer.
     Send(Box<UpstreamEntry>, Duration),
+    /// A cold upstream, for which the request needs a token.
+    Cold(Box<ColdTarget>),
     /// The key has no holder.
     Moving {
         /// Time for which the request may wait for one.
@@ -142,6 +162,12 @@
 impl Drop for SendGuard<'_> {
     fn drop(&mut self) {
         let now = self.state.clock.now();
+        if self
+            .report
+            .is_some_and(|report| report.work_percent.is_some())
+        {
+            self.state.metrics.momentary_figures.inc();
+        }
         let mut selector = self.state.selector.lock();
         selector.record_outcome(now, self.work, &self.sent, self.outcome, self.report);
     }
@@ -155,7 +181,7 @@
     /// Fails when there is no sheet yet, no route matches, or the request has no id.
     pub(crate) fn resolve(&self, request: ClientRequest) -> Result<ResolvedRequest, Refusal> {
         let view = self.state.view.load();
-        if view.sheet.is_none() {
+        if view.sheet.is_none() || !view.orders.is_known() {
             return Err(Refusal::new(Cause::NoConfiguration).with_retry_after(RETRY_AFTER));
         }
         let host = request.head.headers.get("host").unwrap_or_default();
@@ -190,16 +216,22 @@
     ) -> Result<UpstreamAnswer, Refusal> {
         let mut history = AttemptHistory::default();
         self.record_key_load(request);
+        self.state.record_rank_load(request);
         let outcome = self
             .send_with_retries(request, &mut history, is_client_gone)
             .await;
         // A refusal would say that the request has not run, although an upstream ran it.
         let outcome = match (outcome, history.failed_answer.take()) {
             (Err(_), Some(failed_answer)) => Ok(failed_answer),
+            (Ok(answer), Some(failed_answer)) if answer.says_not_run() => Ok(failed_answer),
             (outcome, _) => {
                 outcome.map_err(|refusal| self.final_refusal(request, &history, refusal))
             }
         };
+        let outcome = match (outcome, history.uncertain_cause) {
+            (Ok(answer), Some(cause)) if answer.says_not_run() => Err(cause.into()),
+            (outcome, _) => outcome,
+        };
         self.log_outcome(request, &history, &outcome);
         outcome
     }
@@ -236,8 +268,15 @@
                 return Err(Cause::RequestTimeout.into());
             }
             self.check_quarantine(now, request)?;
-            let (entry, expected) = match self.find_target(now, request, history) {
-                DispatchTarget::Send(entry, expected) => (entry, expected),
+            let (entry, expected, token) = match self.find_target(now, request, history) {
+                DispatchTarget::Send(entry, expected) => (entry, expected, None),
+                DispatchTarget::Cold(target) => {
+                    let waiting = self.wait_for_token(request, &target, is_client_gone);
+                    let Some(token) = waiting.await? else {
+                        continue;
+                    };
+                    (Box::new(target.entry), target.expected, Some(token))
+                }
                 DispatchTarget::Refused(refusal) => return Err(refusal),
                 DispatchTarget::Moving {
                     remaining_wait,
@@ -253,6 +292,9 @@
             if history.sends == 0 {
                 state.budgets.record_first_attempt(&request.service);
             } else if !state.budgets.try_spend(&request.service) {
+                if let Some(token) = token {
+                    state.cold.put_back(token);
+                }
                 return Err(Cause::Overloaded.into());
             } else {
                 state.metrics.retries.inc();
@@ -264,7 +306,7 @@
                 is_repeat,
                 may_have_run: history.uncertain_cause.is_some(),
             };
-            let outcome = self.send(request, &entry, attempt, expected).await;
+            let outcome = self.send(request, &entry, attempt, expected, token).await;
             if outcome.is_ok() {
                 let now = state.clock.now();
                 let mut quarantine = state.quarantine.lock();
@@ -279,7 +321,7 @@
                     if !has_attempts_left {
                         return Ok(answer);
                     }
-                    history.failed_answer = Some(answer);
+                    history.record_failed(answer);
                 }
                 Err(cause) => {
                     history.last_cause = Some(cause);
@@ -308,8 +350,10 @@
         entry: &UpstreamEntry,
         attempt: AttemptFacts,
         expected: Duration,
+        token: Option<HeldToken>,
     ) -> Result<UpstreamAnswer, Cause> {
         let state = &self.state;
+        let mut permit = self.permit(request, entry, token);
         let now = state.clock.now();
         debug!(
             target: "send",
@@ -331,16 +375,29 @@
         };
         let max_requests = state.max_requests(&entry.service);
         let outgoing = request.outgoing();
+        let exchanger = &state.exchanger;
         let exchanged = match &state.relay {
             Some(relay) => {
                 relay
-                    .exchange(&state.exchanger, entry, &outgoing, attempt, max_requests)
+                    .exchange(
+                        exchanger,
+                        entry,
+                        &outgoing,
+                        attempt,
+                        max_requests,
+                        &mut permit,
+                    )
                     .await
             }
             None => {
-                state
-                    .exchanger
-                    .exchange(entry, &outgoing, attempt.is_repeat, max_requests)
+                exchanger
+                    .exchange(
+                        entry,
+                        &outgoing,
+                        attempt.is_repeat,
+                        max_requests,
+                        &mut permit,
+                    )
                     .await
             }
         };
@@ -354,9 +411,14 @@
     /// connection.
     pub(crate) async fn probe(self, entry: UpstreamEntry) {
         let state = &self.state;
-        let Ok(stream) = h1::dial(entry.address, crate::pool::CONNECT_TIMEOUT).await else {
-            return;
+        let stream = match h1::dial(entry.address, crate::pool::CONNECT_TIMEOUT).await {
+            Ok(stream) => stream,
+            Err(error) => {
+                state.cold.record_unreachable(&entry, &error);
+                return;
+            }
         };
+        state.cold.record_reached(&entry);
         info!(target: "upstream", "upstream={} state=reachable", entry.id);
         let now = state.clock.now();
         let connection = h1::Connection::new(stream);
@@ -382,9 +444,10 @@
     /// refuses connections.
     async fn record_loss(&self, request: &ResolvedRequest, entry: &UpstreamEntry) {
         let probe = h1::dial(entry.address, crate::pool::CONNECT_TIMEOUT).await;
-        if !matches!(probe, Err(h1::DialError::Refused(_))) {
+        let Err(error @ h1::DialError::Refused(_)) = &probe else {
             return;
-        }
+        };
+        self.state.cold.record_unreachable(entry, error);
         let now = self.state.clock.now();
         info!(
             target: "suspect",
@@ -442,6 +505,9 @@
             .get(&request.service)
             .and_then(|map| map.range_of(key));
         let first = range.map_or(0, |range| range.first);
+        if range.is_some_and(|range| self.state.is_holder_closed(now, range, view)) {
+            return self.state.refuse_evacuated(request);
+        }
         let Some(upstream) = range.and_then(|range| self.usable_holder(now, range, view)) else {
             let service = &request.service;
             let service_time = self.state.selector.lock().mean_service_time(service);
@@ -496,6 +562,7 @@
         };
         let mut candidates = Vec::with_capacity(ids.len());
         let mut tried = Vec::new();
+        let mut is_evacuated = false;
         for id in ids {
             let Some(upstream) = view.upstreams.get(id) else {
                 continue;
@@ -503,6 +570,11 @@
             if !upstream.accepts_requests(now) {
                 continue;
             }
+            let phase = self.state.domain_phase(now, view, &upstream.entry.domain);
+            if !phase.accepts_keyless() {
+                is_evacuated = true;
+                continue;
+            }
             let candidate = self.state.candidate(now, upstream);
             if history.tried_upstreams.contains(id) {
                 tried.push(candidate);
@@ -521,7 +593,21 @@
             }
             candidates = tried;
         }
-        self.select_target(now, request, &candidates, view)
+        if candidates.is_empty() && is_evacuated {
+            return self.state.refuse_evacuated(request);
+        }
+        // Requests without a key go to cold upstreams only if no other has room.
+        let (warm, cold) = split_cold(&self.state, candidates, &request.service);
+        if cold.is_empty() {
+            return self.select_target(now, request, &warm, view);
+        }
+        if !warm.is_empty() {
+            let target = self.select_target(now, request, &warm, view);
+            if matches!(target, DispatchTarget::Send(..)) {
+                return target;
+            }
+        }
+        self.select_target(now, request, &cold, view)
     }
 
     fn select_target(
@@ -537,7 +623,12 @@
         drop(selector);
         match selection {
             Selection::Send { id, expected } => match view.upstreams.get(&id) {
-                Some(upstream) => DispatchTarget::Send(Box::new(upstream.entry.clone()), expected),
+                Some(upstream) => {
+                    match ColdTarget::find(&self.state, now, upstream, expected, &limits) {
+                        Some(target) => DispatchTarget::Cold(Box::new(target)),
+                        None => DispatchTarget::Send(Box::new(upstream.entry.clone()), expected),
+                    }
+                }
                 None => DispatchTarget::Refused(
                     Refusal::new(Cause::NoOwner).with_retry_after(RETRY_AFTER),
                 ),
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -3,6 +3,7 @@
 use crate::adapter::HeaderNames;
 use crate::answer::UpstreamAnswer;
 use crate::body_memory::{BodyError, BodyMemory, HeldBody};
+use crate::cold_budget::SendPermit;
 use crate::metrics::FrontMetrics;
 use crate::pool::{ConnectionChoice, ConnectionPool, ReadyConnection};
 use crate::request::OutgoingRequest;
@@ -10,8 +11,8 @@
 use async_std::net::TcpStream;
 use fleet::UpstreamEntry;
 use h1::{Connection, HeadLimits, HeaderList, ResponseHead};
-use kernel::{Cause, Clock};
-use log::warn;
+use kernel::{Cause, Clock, UpstreamId};
+use log::{debug, warn};
 use place::{LoadReport, RequestOutcome};
 use std::sync::Arc;
 use std::time::Duration;
@@ -82,9 +83,11 @@
         request: &OutgoingRequest<'_>,
         is_repeat: bool,
         max_idle: u32,
+        permit: &mut SendPermit<'_>,
     ) -> ExchangeResult {
-        match self.fetch(entry, request, is_repeat, max_idle).await {
-            Ok(answer) => self.judge(answer),
+        let fetching = self.fetch(entry, request, is_repeat, max_idle, permit);
+        match fetching.await {
+            Ok(answer) => self.judge(&entry.id, answer),
             Err(failure) => failure.into(),
         }
     }
@@ -101,6 +104,7 @@
         request: &OutgoingRequest<'_>,
         is_repeat: bool,
         max_idle: u32,
+        permit: &mut SendPermit<'_>,
     ) -> Result<UpstreamAnswer, ExchangeFailure> {
         let now = self.clock.now();
         let remaining = request.deadline - now;
@@ -109,8 +113,12 @@
             .pool
             .take(now, &entry.id, entry.address, choice, remaining);
         match connecting.await {
-            Ok(ready) => self.fetch_over(ready, entry, request, max_idle).await,
+            Ok(ready) => {
+                self.fetch_over(ready, entry, request, max_idle, permit)
+                    .await
+            }
             Err(error) => {
+                permit.record_connection(Err(&error));
                 self.pool.clear(&entry.id);
                 warn!(
                     target: "upstream",
@@ -132,12 +140,16 @@
         entry: &UpstreamEntry,
         request: &OutgoingRequest<'_>,
         max_idle: u32,
+        permit: &mut SendPermit<'_>,
     ) -> Result<UpstreamAnswer, ExchangeFailure> {
         let now = self.clock.now();
         let ReadyConnection {
             mut connection,
             is_new,
         } = ready;
+        if is_new {
+            permit.record_connection(Ok(()));
+        }
         self.record_way(request, is_new);
         let remaining = request.deadline - now;
         if remaining < MIN_REMAINING_TIME {
@@ -149,6 +161,13 @@
         }
         let mut bytes = request.encode_head(&self.names, entry.id.as_str(), remaining);
         let blocks = request.body.blocks_behind(&mut bytes);
+        if !permit.use_for_write() {
+            self.pool.put(now, &entry.id, connection, None, max_idle);
+            return Err(ExchangeFailure::new(
+                Cause::UpstreamRefused,
+                RequestOutcome::Withheld,
+            ));
+        }
         let exchange = async {
             connection.write(&bytes).await?;
             for block in blocks {
@@ -181,6 +200,7 @@
                 ));
             }
         };
+        permit.record_head(head.headers.get_number(self.names.cold));
         self.read_answer(entry, request, connection, head, max_idle)
             .await
     }
@@ -298,8 +318,9 @@
 
     /// Judges an upstream's answer: whether it ran the request, and whether the answer is
     /// one that a client may get.
-    pub(crate) fn judge(&self, answer: UpstreamAnswer) -> ExchangeResult {
-        let report = answer.headers.get(self.names.load).and_then(parse_load);
+    pub(crate) fn judge(&self, upstream: &UpstreamId, answer: UpstreamAnswer) -> ExchangeResult {
+        let load = answer.headers.get(self.names.load);
+        let report = load.and_then(|text| parse_load(upstream, text));
         if self.is_not_run(answer.status, &answer.headers) {
             let (cause, outcome) = match answer.status {
                 421 => (Cause::KeyMisplaced, RequestOutcome::Misplaced),
@@ -344,12 +365,13 @@
     }
 }
 
-/// Parses the load header: "running, waiting, slots".
-fn parse_load(text: &str) -> Option<LoadReport> {
-    let mut numbers = text.split(',').map(|part| part.trim().parse().ok());
-    Some(LoadReport {
-        running: numbers.next()??,
-        waiting: numbers.next()??,
-        slots: numbers.next()??,
-    })
+/// Parses the load header, and logs figures that are ignored.
+fn parse_load(id: &UpstreamId, text: &str) -> Option<LoadReport> {
+    let report = LoadReport::parse(text);
+    let is_ignored =
+        |report: LoadReport| report.work_percent.is_none() && text.matches(',').count() > 2;
+    if report.is_none_or(is_ignored) {
+        debug!(target: "upstream", "upstream={id} load={text:?} state=figures-ignored");
+    }
+    report
 }
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -6,6 +6,7 @@
 use crate::body_memory::BodyMemory;
 use crate::budgets::RetryBudgets;
 use crate::clients::ClientServer;
+use crate::cold_budget::ColdControl;
 use crate::counted_store::CountedStore;
 use crate::dispatch::{DispatchState, Dispatcher};
 use crate::exchange::Exchanger;
@@ -37,9 +38,9 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Weak};
+use std::time::{Duration, Instant};
 use store::RowStore;
 
 /// Fraction of the host's memory that the bodies of all requests together may take. The
@@ -57,8 +58,12 @@
 /// Fraction of the time until the process is killed within which a stop must end.
 const STOP_FRACTION: f64 = 0.9;
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Time for the last answers to leave the machine.
+/// Time for the last answers to leave the machine, and for the requests of connections
+/// that were just accepted to arrive.
 const LINGER_DURATION: Duration = Duration::from_millis(60);
+/// Time that a stop keeps for its last connections after it has closed its listener.
+const MAX_CLOSE_DURATION: Duration = Duration::from_millis(240);
+const LISTENER_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Interval at which expired upstreams and connections are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum number of upstreams that a host probes in one sweep: 20 connections per
@@ -104,6 +109,8 @@
     dispatcher: Dispatcher,
     is_stopping: Arc<AtomicBool>,
     scope: TaskScope,
+    /// The listener for clients, for as long as connections are accepted.
+    listener: Weak<TcpListener>,
     relay: Option<RelayServer>,
 }
 
@@ -171,6 +178,7 @@
     peers: Arc<PeerRegistry>,
     bounds: SharedBounds,
     random: Arc<RandomSource>,
+    cold: Arc<ColdControl>,
 }
 
 impl HostContext {
@@ -178,8 +186,17 @@
         let clock: Arc<dyn Clock> = Arc::new(BootClock);
         let metrics = FrontMetrics::register().map_err(StartFailure::Metrics)?;
         let random = Arc::new(RandomSource::new(&loaded.settings, kernel::wall_clock_ms()));
-        let bounds = ArcSwap::from_pointee(loaded.settings.bounds);
+        let bounds: SharedBounds = Arc::new(ArcSwap::from_pointee(loaded.settings.bounds));
         let store_calls = metrics.store_calls.clone();
+        let view = Arc::new(SharedView::default());
+        let peers = Arc::new(PeerRegistry::new(Arc::clone(&clock), Arc::clone(&random)));
+        let cold = ColdControl::new(
+            Arc::clone(&clock),
+            Arc::clone(&view),
+            Arc::clone(&bounds),
+            Arc::clone(&peers),
+            metrics.clone(),
+        );
         Ok(Self {
             settings: loaded.settings,
             store: Arc::new(CountedStore::new(loaded.platform.store(), store_calls)),
@@ -187,11 +204,12 @@
             metrics,
             scope: TaskScope::new(),
             is_stopping: Arc::new(AtomicBool::new(false)),
-            view: Arc::new(SharedView::default()),
-            peers: Arc::new(PeerRegistry::new(Arc::clone(&clock), Arc::clone(&random))),
-            bounds: Arc::new(bounds),
+            view,
+            peers,
+            bounds,
             random,
             clock,
+            cold: Arc::new(cold),
         })
     }
 
@@ -203,6 +221,7 @@
             Arc::clone(&self.view),
             self.metrics.clone(),
             timing,
+            Arc::clone(&self.cold),
         ))
     }
 
@@ -232,6 +251,8 @@
                 domain: self.settings.domain.clone(),
                 bounds: Arc::clone(&self.bounds),
                 metrics: self.metrics.clone(),
+                rank_loads: Mutex::default(),
+                cold: Arc::clone(&self.cold),
                 relay: self.build_relay_client(),
             }),
         }
@@ -371,6 +392,7 @@
         let clients = ClientServer::new(dispatcher.clone(), request_memory);
         let scope = &context.scope;
         let (listener, server) = (Arc::new(sockets.clients), clients.clone());
+        let open_listener = Arc::downgrade(&listener);
         let connections = scope.clone();
         scope.spawn_restarting("clients", move || {
             server
@@ -414,10 +436,16 @@
             dispatcher: host_dispatcher,
             is_stopping: context.is_stopping,
             scope: context.scope,
+            listener: open_listener,
             relay,
         })
     }
 
+    /// Returns the number of connections that the host has accepted from clients.
+    pub fn accepted_connections(&self) -> u64 {
+        self.clients.accepted()
+    }
+
     /// Applies changed settings, and returns the names of those that take effect only
     /// after a restart.
     ///
@@ -459,16 +487,20 @@
         let notice_duration = BALANCER_NOTICE_DURATION.min(max_duration / 2);
         async_std::task::sleep(notice_duration).await;
         self.clients.close();
-        let mut elapsed = notice_duration;
+        let stop_at = Instant::now() + (max_duration - notice_duration);
+        self.wait_until_answered(stop_at - MAX_CLOSE_DURATION).await;
+        self.clients.stop_accepting();
+        while self.listener.strong_count() > 0 && Instant::now() < stop_at {
+            async_std::task::sleep(LISTENER_POLL_INTERVAL).await;
+        }
         loop {
-            while self.in_flight() > 0 && elapsed < max_duration {
-                async_std::task::sleep(STOP_POLL_INTERVAL).await;
-                elapsed += STOP_POLL_INTERVAL;
-            }
+            self.wait_until_answered(stop_at).await;
+            // The requests of the last connections may still be on their way, and the last
+            // answers have to leave the machine.
+            let begun = self.begun();
             async_std::task::sleep(LINGER_DURATION).await;
-            elapsed += LINGER_DURATION;
-            // A request may have arrived while the last answers left.
-            if self.in_flight() == 0 || elapsed >= max_duration {
+            let is_quiet = self.begun() == begun;
+            if (is_quiet && self.try_end()) || Instant::now() >= stop_at {
                 break;
             }
         }
@@ -485,6 +517,35 @@
         let relayed = self.relay.as_ref().map_or(0, RelayServer::in_flight);
         self.clients.in_flight() + relayed
     }
+
+    /// Returns the number of requests of clients and of other hosts begun so far.
+    fn begun(&self) -> u64 {
+        let relayed = self.relay.as_ref().map_or(0, RelayServer::begun);
+        self.clients.begun() + relayed
+    }
+
+    /// Lets no further request be read, of clients or of other hosts; returns `false`, and
+    /// lets them be read again, if one is in flight.
+    fn try_end(&self) -> bool {
+        let Some(relay) = &self.relay else {
+            return self.clients.try_end();
+        };
+        if !relay.try_end() {
+            return false;
+        }
+        if self.clients.try_end() {
+            return true;
+        }
+        relay.undo_end();
+        false
+    }
+
+    /// Waits until no request is in flight, or until `stop_at`.
+    async fn wait_until_answered(&self, stop_at: Instant) {
+        while self.in_flight() > 0 && Instant::now() < stop_at {
+            async_std::task::sleep(STOP_POLL_INTERVAL).await;
+        }
+    }
 }
 
 fn spawn_pages(
@@ -544,6 +605,13 @@
             relay.prune(now, |id| view.upstreams.contains_key(id));
         }
         state.moves.lock().prune(now);
+        state.cold.sweep(now);
+        for _ in 0..MAX_SWEEP_PROBES {
+            let Some(check) = state.cold.next_health_check(now) else {
+                break;
+            };
+            scope.spawn(dispatcher.clone().check_health(check));
+        }
         let probes = state.selector.lock().drain_probes(now, MAX_SWEEP_PROBES);
         for id in probes {
             if let Some(known) = view.upstreams.get(&id) {
--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -1,10 +1,13 @@
 //! The leader: grants keys to upstreams while it holds the lease in the store.
 
+mod evacuation;
 mod lease;
 
+use self::evacuation::EvacuationLog;
 use crate::adapter::{FrontSettings, SharedBounds, UserPlatform};
 use crate::dispatch::Dispatcher;
 use crate::grant_client::GrantClient;
+use crate::holder_paces::HolderPaces;
 use crate::metrics::FrontMetrics;
 use crate::peers::PeerRegistry;
 use crate::random::RandomSource;
@@ -117,7 +120,9 @@
     /// When the current series of failed store writes began.
     store_failing_since: Option<Moment>,
     /// Versions of the entries and the sheet that were last announced to all hosts.
-    announced_versions: (u64, u64),
+    announced_versions: (u64, u64, u64),
+    evacuation_log: EvacuationLog,
+    holder_paces: HolderPaces,
 }
 
 impl LeaderLoop {
@@ -150,7 +155,9 @@
             yielded_term: None,
             leadership_changed_at: Moment::ZERO,
             store_failing_since: None,
-            announced_versions: (0, 0),
+            announced_versions: (0, 0, 0),
+            evacuation_log: EvacuationLog::default(),
+            holder_paces: HolderPaces::default(),
             context,
         }
     }
@@ -236,6 +243,8 @@
         let term = self.row.as_ref().map_or(0, |row| row.term);
         if !is_leading {
             self.context.peers.set_leading(None, &[]);
+            self.evacuation_log.clear(&self.context.metrics);
+            self.holder_paces.retain(&self.context.metrics, |_| false);
         }
         info!(target: "lead", "leads={is_leading} term={term} row={}", self.row_version);
     }
@@ -277,7 +286,11 @@
     /// message says so in its next report.
     async fn announce_changes(&mut self) {
         let replica = &self.context.replica;
-        let versions = (replica.last_entry_version(), replica.sheet_version());
+        let versions = (
+            replica.last_entry_version(),
+            replica.sheet_version(),
+            replica.orders_version(),
+        );
         if versions == self.announced_versions {
             return;
         }
@@ -289,8 +302,11 @@
     /// Steps all ledgers, sends their grant calls and writes their maps.
     async fn lead(&mut self, now: Moment) {
         let term = self.row.as_ref().map_or(0, |row| row.term);
+        let cold = &self.context.dispatcher.state.cold;
+        cold.set_lease(now, term, self.lease.valid_until());
         self.announce_feed_state(term).await;
         self.announce_changes().await;
+        self.log_capacities(now);
         if self.yield_lease(now).await {
             return;
         }
@@ -313,6 +329,9 @@
                 .entry(service.clone())
                 .or_insert_with(|| GrantLedger::new(self.timing, term));
             let step = ledger.step(now, &candidates, &loads);
+            let counts = ledger.evacuation_counts(&candidates);
+            self.evacuation_log
+                .record(now, &service, counts, &self.context.metrics);
             for call in step.calls {
                 calls.push((service.clone(), call));
             }
@@ -469,6 +488,8 @@
         let dispatch = &self.context.dispatcher.state;
         let view = dispatch.view.load();
         let mean_service_time = dispatch.selector.lock().mean_service_time(service);
+        self.holder_paces
+            .retain(&self.context.metrics, |id| view.upstreams.contains_key(id));
         let mut candidates = Vec::new();
         for id in view.by_service.get(service).into_iter().flatten() {
             let Some(known) = view.upstreams.get(id) else {
@@ -477,10 +498,17 @@
             if !known.is_listed() && !known.accepts_requests(now) {
                 continue;
             }
-            let slowness = self.context.peers.slowness(id.as_str()).unwrap_or(1.0);
-            let (min, max) = RELATIVE_SPEED_RANGE;
-            let speed = (1.0 / slowness).clamp(min, max);
+            let pace = self.context.peers.holder_pace(id.as_str());
+            let speed = if let Some(pace) = pace {
+                self.holder_paces.record(id, pace, &self.context.metrics);
+                pace.speed()
+            } else {
+                let slowness = self.context.peers.slowness(id.as_str()).unwrap_or(1.0);
+                let (min, max) = RELATIVE_SPEED_RANGE;
+                (1.0 / slowness).clamp(min, max)
+            };
             let capacity = f64::from(known.entry.slots.max(1)) * speed;
+            let gives_up_by = dispatch.moves_end(&view, &known.entry.domain);
             candidates.push(OwnerCandidate {
                 holder: Holder {
                     upstream: id.clone(),
@@ -488,7 +516,10 @@
                 },
                 capacity,
                 max_rate: mean_service_time.map(|time| capacity / time.as_secs_f64().max(1e-6)),
-                accepts_keys: known.is_listed(),
+                accepts_keys: known.is_listed() && gives_up_by.is_none(),
+                gives_up_by,
+                relief: pace.map(|pace| pace.relief),
+                cold_rate: dispatch.cold.key_rate(now, known),
             });
         }
         candidates
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use kernel::Verdict;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 use std::time::Duration;
 
@@ -26,6 +26,27 @@
     pub is_leader: IntGauge,
     /// Version of the sheet in force.
     pub sheet_version: IntGauge,
+    /// Number of failure domains that are being or have been evacuated.
+    pub evacuated_domains: IntGauge,
+    /// Requests refused because only evacuated domains could run them, by rank.
+    pub evacuation_refusals: IntCounterVec,
+    /// Ranges in evacuated domains that this leader has still to move.
+    pub evacuation_ranges: IntGauge,
+    /// Responses that reported how long work takes at the moment.
+    pub momentary_figures: IntCounter,
+    /// Holders that the leader gives fewer keys because their queue is long.
+    pub relieved_holders: IntGauge,
+    /// Age of the loads of all hosts when they arrive from the leader, since it computed
+    /// them.
+    pub fleet_load_age: Histogram,
+    /// Tokens for cold upstreams, by what became of them.
+    pub cold_tokens: IntCounterVec,
+    /// Requests that needed a token, by what became of them.
+    pub cold_requests: IntCounterVec,
+    /// Upstreams found cold other than by their entries, by source.
+    pub cold_found: IntCounterVec,
+    /// Upstreams that are cold now and limited.
+    pub cold_upstreams: IntGauge,
     /// Sends of this host's requests, by way: `own` for a warm connection of its own,
     /// `relayed`, or `new` for a new connection.
     pub sends: IntCounterVec,
@@ -58,6 +79,40 @@
             Opts::new("trestle_store_calls_total", "Calls to the platform's store"),
             &["call", "table"],
         )?;
+        let evacuation_refusals = IntCounterVec::new(
+            Opts::new(
+                "trestle_evacuation_refusals_total",
+                "Requests refused for evacuated domains",
+            ),
+            &["rank"],
+        )?;
+        registry.register(Box::new(evacuation_refusals.clone()))?;
+        let fleet_load_age = Histogram::with_opts(
+            HistogramOpts::new(
+                "trestle_fleet_load_age_seconds",
+                "Age of the leader's loads",
+            )
+            .buckets(LATENCY_BUCKETS.to_vec()),
+        )?;
+        registry.register(Box::new(fleet_load_age.clone()))?;
+        let cold_tokens = IntCounterVec::new(
+            Opts::new("trestle_cold_tokens_total", "Tokens for cold upstreams"),
+            &["event"],
+        )?;
+        let cold_requests = IntCounterVec::new(
+            Opts::new(
+                "trestle_cold_requests_total",
+                "Requests that needed a token",
+            ),
+            &["event"],
+        )?;
+        let cold_found = IntCounterVec::new(
+            Opts::new("trestle_cold_found_total", "Upstreams found cold"),
+            &["source"],
+        )?;
+        registry.register(Box::new(cold_tokens.clone()))?;
+        registry.register(Box::new(cold_requests.clone()))?;
+        registry.register(Box::new(cold_found.clone()))?;
         let sends = IntCounterVec::new(
             Opts::new("trestle_sends_total", "Sends to upstreams"),
             &["way"],
@@ -94,6 +149,22 @@
             store_failures: counter("trestle_store_failures_total", "Failed store calls")?,
             is_leader: gauge("trestle_is_leader", "1 while this host grants keys")?,
             sheet_version: gauge("trestle_sheet_version", "Version of the sheet in force")?,
+            evacuated_domains: gauge("trestle_evacuated_domains", "Domains under evacuation")?,
+            evacuation_refusals,
+            evacuation_ranges: gauge(
+                "trestle_evacuation_ranges",
+                "Ranges in evacuated domains still to be moved by this leader",
+            )?,
+            momentary_figures: counter(
+                "trestle_momentary_figures_total",
+                "Responses with a momentary figure",
+            )?,
+            relieved_holders: gauge("trestle_relieved_holders", "Holders with a long queue")?,
+            fleet_load_age,
+            cold_tokens,
+            cold_requests,
+            cold_found,
+            cold_upstreams: gauge("trestle_cold_upstreams", "Cold upstreams with a limit")?,
             sends,
             connections_opened: counter(
                 "trestle_connections_opened_total",
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -3,14 +3,14 @@
 use crate::message::{HostReport, KnownVersions, LeaderReply};
 use crate::random::RandomSource;
 use crate::relay_list::RelayLists;
-use crate::wire_load::WireLoad;
+use crate::wire_load::{LoadList, WireLoad};
 use async_channel::{Receiver, Sender, bounded};
 use async_std::future::timeout;
 use grant::{KeyLoads, PreviousTerm};
 use indexmap::IndexMap;
 use kernel::{Clock, DomainName, Moment, ServiceName, UpstreamId};
 use parking_lot::Mutex;
-use place::{FleetLoads, ObservedLoad};
+use place::{FleetLoads, HolderPace, ObservedLoad};
 use relay::RelayHost;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -177,6 +177,12 @@
         state.leader = leader;
     }
 
+    /// Has a report sent before it is due.
+    pub(crate) fn wake_reports(&self) {
+        // The channel holds one wake-up, which is enough.
+        let _is_sent = self.wake_sender.try_send(());
+    }
+
     /// Waits until a report is due: for `interval`, or until woken early, such as when
     /// the leader changes.
     pub(crate) async fn wait_for_report(&self, interval: Duration) {
@@ -480,6 +486,7 @@
             host.known.owners.clone_from(&announced.owners);
             host.known.entries = host.known.entries.max(announced.entries);
             host.known.sheet = host.known.sheet.max(announced.sheet);
+            host.known.orders = host.known.orders.max(announced.orders);
         }
         for host_address in std::mem::take(&mut state.host_addresses) {
             if targets.iter().any(|(address, _)| *address == host_address) {
@@ -489,6 +496,8 @@
                 owners: Vec::new(),
                 entries: announced.entries,
                 sheet: announced.sheet,
+                // The new leader may know of an order that the last one did not announce.
+                orders: 0,
             };
             targets.push((host_address, known));
         }
@@ -497,7 +506,7 @@
 
     /// Returns the next recent loads. The others follow in later replies, as small hosts
     /// have narrow links.
-    pub(crate) fn next_fleet_loads(&self) -> Vec<WireLoad> {
+    pub(crate) fn next_fleet_loads(&self) -> LoadList {
         let now = self.clock.now();
         let mut state = self.state.lock();
         if now - state.loads_updated_at >= LOADS_REFRESH_INTERVAL {
@@ -511,7 +520,10 @@
         let from = state.loads_offset.min(state.recent_loads.len());
         let (before, after) = state.recent_loads.split_at(from);
         let loads = after.iter().chain(before);
-        loads.take(MAX_REPLY_LOADS).copied().collect()
+        LoadList {
+            loads: loads.take(MAX_REPLY_LOADS).copied().collect(),
+            age: now - state.loads_updated_at,
+        }
     }
 
     /// Returns an upstream's service time relative to that of all upstreams, as all
@@ -520,6 +532,11 @@
         self.state.lock().fleet_loads.slowness(id)
     }
 
+    /// Returns what a holder of keys can do, if its momentary noise is known.
+    pub(crate) fn holder_pace(&self, id: &str) -> Option<HolderPace> {
+        self.state.lock().fleet_loads.holder_pace(id)
+    }
+
     /// Applies a host's report, which came from `address`, with the loads that it
     /// observed.
     pub(crate) fn apply_report(
--- a/crates/front/src/relay_client.rs
+++ b/crates/front/src/relay_client.rs
@@ -3,6 +3,7 @@
 
 use crate::answer::UpstreamAnswer;
 use crate::body_memory::BodyError;
+use crate::cold_budget::SendPermit;
 use crate::exchange::{ExchangeFailure, ExchangeResult, Exchanger, connection_choice};
 use crate::peers::PeerRegistry;
 use crate::pool::{ConnectionChoice, ConnectionPool, MAX_FRESH_IDLE, idle_life};
@@ -18,8 +19,8 @@
 use place::RequestOutcome;
 use relay::{
     AvoidedRelays, DirectReason, HostList, NextStep, RelayAdmission, RelayCall, RelayEnd,
-    RelayHost, RelayMode, RelayReply, RequestRates, SendWay, WayFacts, choose_relay, choose_way,
-    is_relay_header, next_step,
+    RelayHost, RelayMode, RelayRefusal, RelayReply, RequestRates, SendWay, WayFacts, choose_relay,
+    choose_way, is_relay_header, next_step,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -90,6 +91,7 @@
         request: &OutgoingRequest<'_>,
         attempt: AttemptFacts,
         max_idle: u32,
+        permit: &mut SendPermit<'_>,
     ) -> ExchangeResult {
         let now = exchanger.clock.now();
         let max_idle = self.max_idle(&entry.id, max_idle);
@@ -108,22 +110,23 @@
             may_have_run: attempt.may_have_run,
             hosts,
             reuse_probability,
+            may_need_token: permit.may_need_token(),
         };
         let way = choose_way(&facts, |relay| self.avoided.lock().is_avoided(now, relay));
         log_way(request, entry, way, reuse_probability);
         let fetched = match (way, own_connection) {
             (SendWay::Relayed(relay), _) => {
-                self.fetch_relayed(relay, exchanger, entry, request, max_idle)
+                self.fetch_relayed(relay, exchanger, entry, request, max_idle, permit)
                     .await
             }
             (_, Some(connection)) => {
                 exchanger
-                    .fetch_over(connection, entry, request, max_idle)
+                    .fetch_over(connection, entry, request, max_idle, permit)
                     .await
             }
             (_, None) => {
                 exchanger
-                    .fetch(entry, request, attempt.is_repeat, max_idle)
+                    .fetch(entry, request, attempt.is_repeat, max_idle, permit)
                     .await
             }
         };
@@ -133,7 +136,7 @@
                     let life = idle_life(Some(keep_alive));
                     self.rates.lock().set_idle_life(&entry.id, life);
                 }
-                exchanger.judge(answer)
+                exchanger.judge(&entry.id, answer)
             }
             Err(failure) => failure.into(),
         }
@@ -177,13 +180,29 @@
         entry: &UpstreamEntry,
         request: &OutgoingRequest<'_>,
         max_idle: u32,
+        permit: &mut SendPermit<'_>,
     ) -> Result<UpstreamAnswer, ExchangeFailure> {
         let (end, answer) = self.forward(relay, exchanger, entry, request).await;
         let step = next_step(&end);
         self.record_end(exchanger, relay, request, &end, step);
+        match &end {
+            RelayEnd::Replied(RelayReply::Refused(RelayRefusal::Cold)) => permit.require_token(),
+            RelayEnd::Replied(RelayReply::Failed {
+                outcome: RequestOutcome::Unreachable,
+                ..
+            }) => permit.record_relay_timeout(),
+            _ => {}
+        }
         match (step, answer) {
-            (NextStep::UseAnswer, Some(answer)) => Ok(answer),
-            (NextStep::SendDirectly, _) => exchanger.fetch(entry, request, false, max_idle).await,
+            (NextStep::UseAnswer, Some(answer)) => {
+                permit.record_relayed_answer(answer.headers.get_number(exchanger.names.cold));
+                Ok(answer)
+            }
+            (NextStep::SendDirectly, _) => {
+                exchanger
+                    .fetch(entry, request, false, max_idle, permit)
+                    .await
+            }
             (NextStep::Fail { cause, outcome }, _) => Err(ExchangeFailure::new(cause, outcome)),
             // An answer is there whenever the relay replied with one.
             (NextStep::UseAnswer, None) => Err(ExchangeFailure::new(
--- a/crates/front/src/relay_server.rs
+++ b/crates/front/src/relay_server.rs
@@ -3,6 +3,7 @@
 use crate::answer::{UpstreamAnswer, encode_answer_head};
 use crate::body_memory::{BodyError, BodyMemory, HeldBody};
 use crate::client_connection::wait_for_close;
+use crate::cold_budget::SendPermit;
 use crate::dispatch::DispatchState;
 use crate::exchange::ExchangeFailure;
 use crate::relay_client::{RELAY_HEAD_BYTES, RELAY_HEADERS};
@@ -14,6 +15,7 @@
 use h1::{BodyLength, BodyReader, Connection, HeadLimits, RequestHead, encode_response_head};
 use kernel::{Moment, RequestId, TaskScope};
 use log::debug;
+use place::RequestOutcome;
 use relay::{RelayAdmission, RelayCall, RelayRefusal, RelayReply, is_relay_header};
 use std::pin::pin;
 use std::sync::Arc;
@@ -95,6 +97,22 @@
         self.admission.in_flight()
     }
 
+    /// Returns the number of requests begun so far.
+    pub(crate) fn begun(&self) -> u64 {
+        self.admission.begun()
+    }
+
+    /// Lets no further request be read; returns `false`, and lets them be read again, if
+    /// one is in flight.
+    pub(crate) fn try_end(&self) -> bool {
+        self.admission.try_end()
+    }
+
+    /// Lets requests be read again after [`Self::try_end`].
+    pub(crate) fn undo_end(&self) {
+        self.admission.undo_end();
+    }
+
     /// Accepts connections until the scope is closed.
     pub(crate) async fn accept(self, listener: Arc<TcpListener>, scope: TaskScope) {
         loop {
@@ -122,7 +140,9 @@
         connection: &mut Connection<TcpStream>,
         stream: &TcpStream,
     ) -> bool {
-        let _guard = self.admission.begin();
+        let Some(_guard) = self.admission.begin() else {
+            return false;
+        };
         let received_at = self.dispatch.clock.now();
         let reading = self.read_call(connection, received_at);
         let read = match timeout(TRANSFER_TIMEOUT, reading).await {
@@ -141,13 +161,8 @@
             return false;
         };
         let (reply, answer) = match fetched {
-            Ok(answer) => {
-                let keep_alive = answer.headers.get("keep-alive").map(str::to_owned);
-                (RelayReply::Answered { keep_alive }, Some(answer))
-            }
-            Err(ExchangeFailure { cause, outcome }) => {
-                (RelayReply::Failed { cause, outcome }, None)
-            }
+            Ok((reply, answer)) => (reply, Some(answer)),
+            Err(reply) => (reply, None),
         };
         self.respond(connection, &read.call.request, &reply, answer)
             .await
@@ -214,7 +229,12 @@
         let view = self.dispatch.view.load();
         let known = view.upstreams.get(&call.upstream);
         let known = known.filter(|known| known.entry.started_at_ms == call.run);
-        let entry = known.ok_or(RelayRefusal::WrongRun)?.entry.clone();
+        let known = known.ok_or(RelayRefusal::WrongRun)?;
+        let cold = &self.dispatch.cold;
+        if cold.cold_limit(self.dispatch.clock.now(), known).is_some() {
+            return Err(RelayRefusal::Cold);
+        }
+        let entry = known.entry.clone();
         // The rest is left for the answers to this host's own clients.
         if self.dispatch.exchanger.memory.is_half_full() {
             return Err(RelayRefusal::Full);
@@ -237,7 +257,7 @@
         connection: &mut Connection<TcpStream>,
         stream: &TcpStream,
         read: &ReadCall,
-    ) -> Option<Result<UpstreamAnswer, ExchangeFailure>> {
+    ) -> Option<Result<(RelayReply, UpstreamAnswer), RelayReply>> {
         let ReadCall {
             call,
             entry,
@@ -258,23 +278,33 @@
         let max_idle = self.dispatch.max_requests(&entry.service);
         let client = self.dispatch.relay.as_ref()?;
         let max_idle = client.max_idle(&entry.id, max_idle);
-        let fetching = pin!(
-            self.dispatch
-                .exchanger
-                .fetch(entry, &request, false, max_idle)
-        );
-        let leaving = pin!(wait_for_close(stream.clone()));
-        let mut working = select(fetching, leaving);
-        loop {
-            match timeout(SIGN_OF_LIFE_INTERVAL, &mut working).await {
-                Ok(Either::Left((fetched, _))) => return Some(fetched),
-                Ok(Either::Right(_)) => {
-                    debug!(target: "relay", "request={} state=sender_left", call.request);
-                    return None;
+        let mut permit = SendPermit::for_other_host(&self.dispatch.cold, entry);
+        let fetched = {
+            let fetching =
+                pin!(
+                    self.dispatch
+                        .exchanger
+                        .fetch(entry, &request, false, max_idle, &mut permit)
+                );
+            let leaving = pin!(wait_for_close(stream.clone()));
+            let mut working = select(fetching, leaving);
+            loop {
+                match timeout(SIGN_OF_LIFE_INTERVAL, &mut working).await {
+                    Ok(Either::Left((fetched, _))) => break fetched,
+                    Ok(Either::Right(_)) => {
+                        debug!(target: "relay", "request={} state=sender_left", call.request);
+                        return None;
+                    }
+                    Err(_elapsed) => connection.write(SIGN_OF_LIFE).await.ok()?,
                 }
-                Err(_elapsed) => connection.write(SIGN_OF_LIFE).await.ok()?,
             }
-        }
+        };
+        let answer = match fetched {
+            Ok(answer) => answer,
+            Err(failure) => return Some(Err(relay_failure(failure, &permit))),
+        };
+        let keep_alive = answer.headers.get("keep-alive").map(str::to_owned);
+        Some(Ok((RelayReply::Answered { keep_alive }, answer)))
     }
 
     /// Writes a response; returns whether the connection may be used again.
@@ -317,6 +347,19 @@
     }
 }
 
+/// Returns the reply for an exchange that brought no answer.
+fn relay_failure(failure: ExchangeFailure, permit: &SendPermit<'_>) -> RelayReply {
+    let ExchangeFailure { cause, outcome } = failure;
+    match outcome {
+        // The upstream became cold after the request was admitted.
+        RequestOutcome::Withheld => RelayReply::Refused(RelayRefusal::Cold),
+        RequestOutcome::Unreachable if permit.is_refusal_relevant() => {
+            RelayReply::Refused(RelayRefusal::ConnectionRefused)
+        }
+        _ => RelayReply::Failed { cause, outcome },
+    }
+}
+
 /// Returns the status of a response without an answer; the sender goes by its headers.
 fn failure_status(reply: &RelayReply) -> u16 {
     match reply {
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -15,7 +15,7 @@
 use crate::relay_list::push_relay_list;
 use crate::replica::StoreReplica;
 use crate::send_budget::SendBudget;
-use crate::wire_load::{WireLoad, WireObservation};
+use crate::wire_load::{LoadList, WireLoad, WireObservation};
 use async_std::net::UdpSocket;
 use fleet::EntryChange;
 use grant::PreviousTerm;
@@ -59,21 +59,34 @@
 impl ReportChannel {
     /// Sends reports periodically to the current leader.
     pub(crate) async fn send_reports(self) {
+        let clock = Arc::clone(&self.dispatcher.state.clock);
+        let mut last_full_at = clock.now();
         loop {
             let interval = if self.peers.is_standby() {
                 STANDBY_REPORT_INTERVAL
             } else {
                 REPORT_INTERVAL
             };
-            self.peers.wait_for_report(interval).await;
-            let report = self.report();
+            // Reports that ask for tokens don't put off those that are due.
+            let due_in = (last_full_at + interval) - clock.now();
+            self.peers.wait_for_report(due_in).await;
+            let now = clock.now();
+            let cold = &self.dispatcher.state.cold;
+            let mut report = self.report();
+            report.sent_at_us = now.as_micros();
+            report.wanted = cold.begin_report(now);
+            report.is_early = !report.wanted.is_empty() && now < last_full_at + interval;
+            if !report.is_early {
+                last_full_at = now;
+            }
             let Some(leader) = self.peers.leader() else {
                 continue;
             };
             if self.socket.local_addr().ok() == Some(leader) {
                 self.apply_report(&report, leader);
+                cold.accept(now, &cold.issue(&report));
                 self.update_own_relay_list(&report);
-                self.set_fleet_loads(&self.peers.next_fleet_loads());
+                self.set_fleet_loads(&self.peers.next_fleet_loads().loads);
                 continue;
             }
             if let Some(bytes) = encode(&PeerMessage::Report(report)) {
@@ -113,11 +126,11 @@
         let mut cached: Option<(KnownVersions, Vec<Vec<u8>>)> = None;
         for (address, mut known) in targets {
             if !self.has_send_room() {
-                known.clone_from(&announced);
+                known = announced.except_orders(&known);
             }
             let datagrams = match cached.take() {
                 Some((cached_known, datagrams)) if cached_known == known => datagrams,
-                _ => encode_all(self.replies(term, term_end, &known, false, Vec::new())),
+                _ => encode_all(self.replies(term, term_end, &known, false, LoadList::default())),
             };
             for bytes in &datagrams {
                 self.send(bytes, address).await;
@@ -132,6 +145,7 @@
             owners: self.replica.owner_versions(),
             entries: self.replica.last_entry_version(),
             sheet: self.replica.sheet_version(),
+            orders: self.replica.orders_version(),
         }
     }
 
@@ -149,7 +163,7 @@
         term_end: Option<TermEnd<'_>>,
         known: &KnownVersions,
         is_for_standby: bool,
-        fleet_loads: Vec<WireLoad>,
+        load_list: LoadList,
     ) -> Vec<LeaderReply> {
         let first = LeaderReply {
             term,
@@ -164,13 +178,18 @@
             entries_base: known.entries,
             entries: Vec::new(),
             entries_version: self.replica.last_entry_version(),
-            fleet_loads,
+            fleet_loads: load_list.loads,
             standbys: self.peers.standbys(),
             host_addresses: if is_for_standby {
                 self.peers.addresses()
             } else {
                 Vec::new()
             },
+            orders: self.replica.orders_since(known.orders),
+            fleet_loads_age_ms: load_list.age.as_millis() as u32,
+            report_sent_at_us: 0,
+            tokens: Vec::new(),
+            cold: self.dispatcher.state.cold.known_cold(false),
             relay_hosts: None,
         };
         let changes = self.replica.entry_changes_since(known.entries);
@@ -210,6 +229,16 @@
         }
     }
 
+    /// Records how old the loads were when they arrived.
+    fn record_load_age(&self, reply: &LeaderReply) {
+        if reply.fleet_loads.is_empty() {
+            return;
+        }
+        let age = Duration::from_millis(u64::from(reply.fleet_loads_age_ms));
+        let metrics = &self.dispatcher.state.metrics;
+        metrics.fleet_load_age.observe(age.as_secs_f64());
+    }
+
     /// Applies another host's report, or this one's while it leads.
     fn apply_report(&self, report: &HostReport, from: SocketAddr) {
         let view = self.dispatcher.state.view.load();
@@ -220,6 +249,7 @@
             };
             observed.push((id.clone(), ObservedLoad::from(*load)));
         }
+        self.dispatcher.state.cold.apply_cold(&report.cold);
         self.peers.apply_report(report, &observed, from);
     }
 
@@ -245,7 +275,12 @@
                 owners: self.replica.owner_versions(),
                 entries: self.replica.entries_version(),
                 sheet: self.replica.sheet_version(),
+                orders: self.replica.orders_version(),
             },
+            sent_at_us: 0,
+            is_early: false,
+            wanted: Vec::new(),
+            cold: state.cold.known_cold(true),
             relay: state.relay.as_ref().map(RelayClient::offer),
         }
     }
@@ -308,15 +343,22 @@
                     // looks for the leader in the store.
                     if let Some(term) = self.peers.leading_term() {
                         let is_for_standby = self.peers.standbys().contains(&report.host);
-                        let fleet_loads = self.peers.next_fleet_loads();
+                        let tokens = self.dispatcher.state.cold.issue(&report);
+                        let load_list = if report.is_early {
+                            LoadList::default()
+                        } else {
+                            self.peers.next_fleet_loads()
+                        };
                         let relay_hosts = self.relay_list_for(term, &report);
                         let known = if self.has_send_room() {
                             report.known
                         } else {
-                            self.told_versions()
+                            self.told_versions().except_orders(&report.known)
                         };
                         let mut replies =
-                            self.replies(term, None, &known, is_for_standby, fleet_loads);
+                            self.replies(term, None, &known, is_for_standby, load_list);
+                        replies[0].report_sent_at_us = report.sent_at_us;
+                        replies[0].tokens = tokens;
                         push_relay_list(&mut replies, relay_hosts);
                         for bytes in encode_all(replies) {
                             self.send(&bytes, peer).await;
@@ -327,6 +369,10 @@
                     if !self.peers.apply_reply(&reply, peer, &self.host) {
                         continue;
                     }
+                    if let Some(orders) = &reply.orders {
+                        self.replica.apply_orders(orders);
+                    }
+                    self.dispatcher.state.cold.apply_reply(&reply);
                     self.apply_sheet(&reply);
                     self.apply_suspects(&reply.suspects);
                     self.dispatcher
@@ -334,6 +380,7 @@
                         .budgets
                         .set_host_count(reply.host_count);
                     self.set_fleet_loads(&reply.fleet_loads);
+                    self.record_load_age(&reply);
                     self.peers.relay_lists.apply(reply.relay_hosts);
                     let changes = reply.entries.into_iter().map(EntryChange::from);
                     let changes: Vec<EntryChange> = changes.collect();
--- a/crates/grant/src/balance.rs
+++ b/crates/grant/src/balance.rs
@@ -11,7 +11,7 @@
 
 use crate::{Holder, KEY_COUNT, KeyLoads, OwnedRange, OwnerMap};
 use indexmap::IndexMap;
-use kernel::UpstreamId;
+use kernel::{Moment, UpstreamId};
 
 /// Ratio of load to fair share above which an upstream gives keys away; at a lower
 /// ratio moving keys costs more than it brings.
@@ -44,6 +44,15 @@
 /// Ratio of capacities above which a hot key moves to a stronger upstream. While it
 /// moves, nobody serves it.
 const MIN_HOT_CAPACITY_RATIO: f64 = 2.0;
+/// The same ratio where the speeds are known apart from momentary noise: a difference is
+/// then one of the upstreams, and lasts.
+const MIN_STEADY_HOT_CAPACITY_RATIO: f64 = 1.4;
+/// Part of its capacity above which an upstream that serves a hot key gives other keys
+/// away, where momentary noise is known. The hot key can't be divided, so that room is
+/// kept for noise.
+const MAX_HOT_UTILIZATION: f64 = 0.6;
+/// Part of its capacity up to which such an upstream receives other keys.
+const TARGET_HOT_UTILIZATION: f64 = 0.4;
 /// Maximum number of pieces that an orphaned range is split into.
 const MAX_ORPHAN_PIECES: usize = 4;
 /// Number of ranges per upstream above which no range is split for balance; each range
@@ -69,6 +78,14 @@
     pub max_rate: Option<f64>,
     /// Whether it may receive more keys; otherwise it only keeps those it has.
     pub accepts_keys: bool,
+    /// Time by which all its keys are to be moved elsewhere; `None` if it may keep them.
+    /// Until the turn of a range comes, its grant is renewed.
+    pub gives_up_by: Option<Moment>,
+    /// Factor up to 1 by which it can do less than `max_rate` because its queue is long;
+    /// `None` if its momentary noise is unknown.
+    pub relief: Option<f64>,
+    /// Requests a second up to which it is given keys, as it is cold or warming up.
+    pub cold_rate: Option<f64>,
 }
 
 impl OwnerCandidate {
@@ -82,27 +99,34 @@
             capacity,
             max_rate: None,
             accepts_keys: true,
+            gives_up_by: None,
+            relief: None,
+            cold_rate: None,
         }
     }
 }
 
 /// Fair and current shares of load of the candidates, as fractions of all load.
 #[derive(Debug)]
-struct ShareTable {
+pub(crate) struct ShareTable {
     rows: IndexMap<Holder, ShareRow>,
 }
 
 #[derive(Debug)]
-struct ShareRow {
+pub(crate) struct ShareRow {
     fair: f64,
     /// Share of the load that takes all of its capacity, if known.
     full: Option<f64>,
     current: f64,
+    max_utilization: f64,
+    target_utilization: f64,
+    /// Greatest share that it may have, as it is cold.
+    cold_limit: Option<f64>,
 }
 
 /// A key that needs most of an upstream, and the upstream that is to serve it.
 #[derive(Clone, Debug, PartialEq)]
-struct HotKey {
+pub(crate) struct HotKey {
     key: u16,
     share: f64,
     holder: Holder,
@@ -110,7 +134,7 @@
 
 impl ShareTable {
     /// Builds the table; the upstreams that serve hot keys have a fair share of zero.
-    fn new(
+    pub(crate) fn new(
         candidates: &[OwnerCandidate],
         map: &OwnerMap,
         loads: &KeyLoads,
@@ -130,6 +154,12 @@
         let rows = receivers.map(|candidate| {
             let hot_share = hot_shares.get(&candidate.holder);
             let full = full_share(candidate, loads);
+            let (max_utilization, target_utilization) = match hot_share {
+                Some(_) if candidate.relief.is_some() => {
+                    (MAX_HOT_UTILIZATION, TARGET_HOT_UTILIZATION)
+                }
+                _ => (MAX_UTILIZATION, TARGET_UTILIZATION),
+            };
             let row = ShareRow {
                 fair: match hot_share {
                     Some(_) => 0.0,
@@ -140,12 +170,16 @@
                 full,
                 // Where the capacity is known, a hot key takes its part of it.
                 current: full.and(hot_share.copied()).unwrap_or_default(),
+                max_utilization,
+                target_utilization,
+                cold_limit: cold_share(candidate, loads),
             };
             (candidate.holder.clone(), row)
         });
         let mut table = Self {
             rows: rows.collect(),
         };
+        table.raise_cold_limits();
         for range in &map.ranges {
             let Some(owner) = &range.owner else {
                 continue;
@@ -161,6 +195,24 @@
         table
     }
 
+    /// Raises the limits of cold upstreams by what the others have no room for: every key
+    /// needs a holder.
+    fn raise_cold_limits(&mut self) {
+        let needed: f64 = self.rows.values().map(|row| row.fair).sum();
+        let room: f64 = self.rows.values().map(ShareRow::give_limit).sum();
+        let cold_rows = self.rows.values().filter(|row| row.cold_limit.is_some());
+        let cold_fair: f64 = cold_rows.map(|row| row.fair).sum();
+        let missing = needed - room;
+        if missing <= 0.0 || cold_fair <= 0.0 {
+            return;
+        }
+        for row in self.rows.values_mut() {
+            if let Some(limit) = &mut row.cold_limit {
+                *limit += missing * row.fair / cold_fair;
+            }
+        }
+    }
+
     /// Adds a share of all load to an upstream; ignores upstreams that are not in the
     /// table.
     fn add(&mut self, holder: &Holder, share: f64) {
@@ -177,7 +229,7 @@
 
     /// Returns the upstream that is furthest below its fair share.
     fn furthest_below_fair_share(&self) -> Option<(&Holder, &ShareRow)> {
-        let distance = |row: &ShareRow| row.fair - row.current;
+        let distance = |row: &ShareRow| row.limited(row.fair) - row.current;
         let rows = self.rows.iter();
         rows.max_by(|(_, a), (_, b)| distance(a).total_cmp(&distance(b)))
     }
@@ -193,21 +245,31 @@
 impl ShareRow {
     /// Returns the share above which the upstream gives keys away.
     fn give_limit(&self) -> f64 {
-        let by_capacity = self.full.map_or(0.0, |full| full * MAX_UTILIZATION);
-        by_capacity.max(self.fair * OVERLOAD_RATIO)
+        let by_capacity = self.full.map_or(0.0, |full| full * self.max_utilization);
+        self.limited(by_capacity.max(self.fair * OVERLOAD_RATIO))
     }
 
     /// Returns the share up to which the upstream takes keys, and to which it gives
     /// keys away.
     fn target(&self) -> f64 {
-        let by_capacity = self.full.map_or(0.0, |full| full * TARGET_UTILIZATION);
-        by_capacity.max(self.fair)
+        let by_capacity = self.full.map_or(0.0, |full| full * self.target_utilization);
+        self.limited(by_capacity.max(self.fair))
+    }
+
+    /// Returns a share, or what a cold upstream may have instead.
+    fn limited(&self, share: f64) -> f64 {
+        self.cold_limit.map_or(share, |limit| share.min(limit))
     }
 
     fn headroom(&self) -> f64 {
         self.target() - self.current
     }
 
+    /// Returns the share that it can take before it has to give keys away.
+    pub(crate) fn max_headroom(&self) -> f64 {
+        self.give_limit() - self.current
+    }
+
     /// Returns the current share divided by the one above which keys are given away.
     fn load_ratio(&self) -> f64 {
         self.current / self.give_limit().max(1e-6)
@@ -219,25 +281,51 @@
             Some(_) => KNOWN_IDLE_RATIO,
             None => IDLE_RATIO,
         };
-        self.current < self.fair * ratio
+        self.current < self.limited(self.fair) * ratio
     }
 }
 
 /// Returns the share of all load that takes all of an upstream's capacity, if known.
 fn full_share(candidate: &OwnerCandidate, loads: &KeyLoads) -> Option<f64> {
+    Some(usual_full_share(candidate, loads)? * candidate.relief.unwrap_or(1.0))
+}
+
+/// Returns the same share without regard to the upstream's queue. Keys are not hot
+/// because the queues of all upstreams are long.
+fn usual_full_share(candidate: &OwnerCandidate, loads: &KeyLoads) -> Option<f64> {
     let rate = loads.rate().filter(|rate| *rate > 0.0)?;
     Some(candidate.max_rate? / rate)
 }
 
+/// Returns the ratio of capacities above which a hot key leaves its owner.
+fn min_hot_ratio(owner: &OwnerCandidate) -> f64 {
+    match owner.relief {
+        Some(_) => MIN_STEADY_HOT_CAPACITY_RATIO,
+        None => MIN_HOT_CAPACITY_RATIO,
+    }
+}
+
+/// Returns the share of all load up to which a cold upstream is given keys. Without a
+/// known load it is given none.
+fn cold_share(candidate: &OwnerCandidate, loads: &KeyLoads) -> Option<f64> {
+    let cold_rate = candidate.cold_rate?;
+    let rate = loads.rate().filter(|rate| *rate > 0.0);
+    Some(rate.map_or(0.0, |rate| cold_rate / rate))
+}
+
 /// Finds keys that need most of an upstream and chooses the upstreams to serve them.
 fn assign_hot_keys(candidates: &[OwnerCandidate], map: &OwnerMap, loads: &KeyLoads) -> Vec<HotKey> {
-    let receivers: Vec<&OwnerCandidate> = candidates.iter().filter(|c| c.accepts_keys).collect();
+    // A cold upstream gets the busiest keys last.
+    let receivers: Vec<&OwnerCandidate> = candidates
+        .iter()
+        .filter(|candidate| candidate.accepts_keys && candidate.cold_rate.is_none())
+        .collect();
     let mut strongest = receivers.clone();
     strongest.sort_by(|a, b| b.capacity.total_cmp(&a.capacity));
     let max_keys = (receivers.len() as f64 * MAX_HOT_UPSTREAM_FRACTION) as usize;
     let full_shares = receivers
         .iter()
-        .map(|candidate| full_share(candidate, loads));
+        .map(|candidate| usual_full_share(candidate, loads));
     let mean_full_share: Option<f64> = full_shares
         .sum::<Option<f64>>()
         .map(|sum| sum / receivers.len().max(1) as f64);
@@ -265,7 +353,8 @@
         // A hot key stays where it is unless another upstream is clearly stronger.
         let chosen = match current_owner.filter(is_free) {
             Some(current_owner)
-                if current_owner.capacity * MIN_HOT_CAPACITY_RATIO >= strongest_free.capacity =>
+                if current_owner.capacity * min_hot_ratio(current_owner)
+                    >= strongest_free.capacity =>
             {
                 current_owner
             }
@@ -311,7 +400,7 @@
         });
     }
     let mut table = ShareTable::new(candidates, map, loads, &[]);
-    let mut spare_ranges = max_ranges(candidates.len()).saturating_sub(map.ranges.len());
+    let mut spare_ranges = SpareRanges::new(candidates.len(), map.ranges.len());
     let mut ranges = Vec::with_capacity(map.ranges.len());
     let mut is_changed = false;
     for range in map.ranges.drain(..) {
@@ -324,18 +413,19 @@
         let max_pieces = if is_unassigned {
             candidates.len().min(MAX_RANGES)
         } else {
-            MAX_ORPHAN_PIECES.min(spare_ranges + 1)
+            spare_ranges.max_pieces()
         };
         let count_before = ranges.len();
         split_orphan(
             &range,
             max_pieces,
+            ShareRow::headroom,
             &mut table,
             loads,
             next_epoch,
             &mut ranges,
         );
-        spare_ranges = spare_ranges.saturating_sub(ranges.len() - count_before - 1);
+        spare_ranges.record_pieces(ranges.len() - count_before);
     }
     map.ranges = ranges;
     is_changed
@@ -356,6 +446,26 @@
     MAX_RANGES.min(upstreams * MAX_RANGES_PER_UPSTREAM + EXTRA_RANGES)
 }
 
+/// Number of ranges by which a map may still grow.
+#[derive(Debug)]
+pub(crate) struct SpareRanges(usize);
+
+impl SpareRanges {
+    pub(crate) fn new(upstreams: usize, ranges: usize) -> Self {
+        Self(max_ranges(upstreams).saturating_sub(ranges))
+    }
+
+    /// Returns the maximum number of pieces that the next range may be split into.
+    pub(crate) fn max_pieces(&self) -> usize {
+        MAX_ORPHAN_PIECES.min(self.0 + 1)
+    }
+
+    /// Records that a range was split into this many pieces.
+    pub(crate) fn record_pieces(&mut self, pieces: usize) {
+        self.0 = self.0.saturating_sub(pieces.saturating_sub(1));
+    }
+}
+
 /// Merges adjacent granted ranges of one owner; returns whether any were merged.
 ///
 /// A merged range gets a new epoch, under which its owner's grant is renewed.
@@ -396,9 +506,12 @@
     !merged_indexes.is_empty()
 }
 
-fn split_orphan(
+/// Assigns a range to the candidates with the most headroom, split if none has enough;
+/// adds the parts to `ranges`.
+pub(crate) fn split_orphan(
     range: &OwnedRange,
     max_pieces: usize,
+    headroom_of: fn(&ShareRow) -> f64,
     table: &mut ShareTable,
     loads: &KeyLoads,
     next_epoch: &mut dyn FnMut() -> u64,
@@ -410,7 +523,7 @@
         let Some((holder, row)) = table.most_headroom() else {
             return;
         };
-        let headroom = row.headroom();
+        let headroom = headroom_of(row);
         let holder = holder.clone();
         let prefix_last = if piece == max_pieces || headroom <= 0.0 {
             None
@@ -502,11 +615,11 @@
         let wanted_share = if is_overloaded {
             (from.current - from.target()).min(to.headroom())
         } else if idle.is_some() && from.current > from.fair {
-            (from.current - from.fair).min(to.fair - to.current)
+            (from.current - from.fair).min(to.limited(to.fair) - to.current)
         } else {
             continue;
         };
-        let min_share = to.fair * MIN_MOVE_FRACTION;
+        let min_share = to.limited(to.fair) * MIN_MOVE_FRACTION;
         let may_split = may_split(map, table.rows.len());
         let piece = find_piece(
             map,
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -28,11 +28,12 @@
 mod estimate;
 mod fleet_loads;
 mod moves;
+mod pace;
 mod selector;
 mod state;
 mod work;
 
-pub use fleet_loads::FleetLoads;
+pub use fleet_loads::{FleetLoads, HolderPace};
 pub use moves::MoveTracker;
 pub use selector::{Selection, SelectionLimits, SentRequest, UpstreamCandidate, UpstreamSelector};
 pub use state::{FleetLoad, LoadReport, ObservedLoad, RequestOutcome};
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -15,6 +15,10 @@
 struct AdmissionState {
     in_flight: AtomicU64,
     is_stopping: AtomicBool,
+    /// Whether no further request is read.
+    has_ended: AtomicBool,
+    /// Number of requests begun so far.
+    begun: AtomicU64,
 }
 
 /// Counts a relayed request in flight until dropped.
@@ -39,12 +43,36 @@
     }
 
     /// Counts a request in flight, with which its connection is answered even if the
-    /// request is refused.
-    pub fn begin(&self) -> AdmissionGuard {
+    /// request is refused; returns `None` if no further request may be read.
+    pub fn begin(&self) -> Option<AdmissionGuard> {
+        self.state.begun.fetch_add(1, Ordering::SeqCst);
         self.state.in_flight.fetch_add(1, Ordering::SeqCst);
-        AdmissionGuard {
+        let guard = AdmissionGuard {
             state: Arc::clone(&self.state),
+        };
+        // Counted before the check: `try_end` sees the request, or this sees the end.
+        (!self.state.has_ended.load(Ordering::SeqCst)).then_some(guard)
+    }
+
+    /// Returns the number of requests begun so far.
+    pub fn begun(&self) -> u64 {
+        self.state.begun.load(Ordering::SeqCst)
+    }
+
+    /// Lets no further request be read; returns `false`, and lets them be read again, if
+    /// one is in flight.
+    pub fn try_end(&self) -> bool {
+        self.state.has_ended.store(true, Ordering::SeqCst);
+        if self.in_flight() == 0 {
+            return true;
         }
+        self.undo_end();
+        false
+    }
+
+    /// Lets requests be read again after [`Self::try_end`].
+    pub fn undo_end(&self) {
+        self.state.has_ended.store(false, Ordering::SeqCst);
     }
 
     /// Checks whether a request that was counted by [`Self::begin`] may be forwarded.
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -110,15 +110,22 @@
     OtherProgram,
     /// The request was not complete or not intelligible.
     Invalid,
+    /// The relay knows that the upstream is cold and limited; the sender needs a token.
+    Cold,
+    /// The upstream refused the relay's connection. Where cold upstreams are limited, the
+    /// sender has to see this itself, as the upstream may return cold.
+    ConnectionRefused,
 }
 
 impl RelayRefusal {
-    const ALL: [Self; 5] = [
+    const ALL: [Self; 7] = [
         Self::Full,
         Self::Stopping,
         Self::WrongRun,
         Self::OtherProgram,
         Self::Invalid,
+        Self::Cold,
+        Self::ConnectionRefused,
     ];
 
     /// Returns the text used in headers, logs and metrics.
@@ -129,6 +136,8 @@
             Self::WrongRun => "relay-wrong-run",
             Self::OtherProgram => "relay-other-program",
             Self::Invalid => "relay-invalid",
+            Self::Cold => "relay-cold",
+            Self::ConnectionRefused => "relay-connection-refused",
         }
     }
 
--- a/crates/relay/src/step.rs
+++ b/crates/relay/src/step.rs
@@ -44,7 +44,10 @@
             Self::Replied(RelayReply::Refused(refusal)) => match refusal {
                 RelayRefusal::Stopping | RelayRefusal::OtherProgram | RelayRefusal::Full => true,
                 // The relay will know the upstream's run a moment later.
-                RelayRefusal::WrongRun | RelayRefusal::Invalid => false,
+                RelayRefusal::WrongRun
+                | RelayRefusal::Invalid
+                | RelayRefusal::Cold
+                | RelayRefusal::ConnectionRefused => false,
             },
             // The upstream may be what is slow.
             Self::TimedOut | Self::Replied(_) => false,
--- a/crates/relay/src/way.rs
+++ b/crates/relay/src/way.rs
@@ -68,6 +68,8 @@
     pub hosts: Option<&'a [RelayHost]>,
     /// Probability that a connection of the host's own would be used again.
     pub reuse_probability: f64,
+    /// Whether the request holds a token for a cold upstream, or may need one.
+    pub may_need_token: bool,
 }
 
 /// Why a request goes over a new connection of the host's own.
@@ -80,6 +82,9 @@
     Repeat,
     /// An earlier attempt may have run; no further relay may fail it.
     Uncertain,
+    /// The upstream is cold or may return cold; a token counts only for a write by the host
+    /// that holds it.
+    Cold,
     /// There is no current list of hosts, or no host in it that runs this version.
     NoList,
     /// This host keeps the connections to the upstream itself.
@@ -97,6 +102,7 @@
             Self::Off => "off",
             Self::Repeat => "repeat",
             Self::Uncertain => "uncertain",
+            Self::Cold => "cold",
             Self::NoList => "no-list",
             Self::OwnUpstream => "own-upstream",
             Self::Frequent => "frequent",
@@ -130,6 +136,9 @@
     if facts.may_have_run {
         return SendWay::Direct(DirectReason::Uncertain);
     }
+    if facts.may_need_token {
+        return SendWay::Direct(DirectReason::Cold);
+    }
     let hosts = facts.hosts.unwrap_or_default();
     let Some(relay) = choose_relay(hosts, facts.program, facts.upstream) else {
         return SendWay::Direct(DirectReason::NoList);
--- a/crates/relay/tests/failures.rs
+++ b/crates/relay/tests/failures.rs
@@ -32,6 +32,7 @@
         may_have_run: false,
         hosts,
         reuse_probability: 0.0,
+        may_need_token: false,
     }
 }
 
@@ -137,6 +138,22 @@
     assert_eq!(known.version, ListVersion { term: 5, number: 1 });
 }
 
+/// Guards against an end of the process with a request in it, and against one that is never
+/// reached because a single request came late.
+#[test]
+fn try_end_with_and_without_requests() {
+    let admission = RelayAdmission::new(2);
+    let guard = admission.begin();
+    assert!(!admission.try_end());
+    assert!(admission.begin().is_some(), "it reads further requests");
+    drop(guard);
+    assert!(admission.try_end());
+    assert!(admission.begin().is_none());
+    assert_eq!((admission.begun(), admission.in_flight()), (3, 0));
+    admission.undo_end();
+    assert!(admission.begin().is_some());
+}
+
 /// Guards against a relay that accepts without limit, or new work while it stops.
 #[test]
 fn check_full_or_stopping_relay_refuses() {
--- a/crates/relay/tests/load.rs
+++ b/crates/relay/tests/load.rs
@@ -120,6 +120,7 @@
                 &ids[upstream],
                 (!is_idempotent).then_some(FRESH_LIFE),
             ),
+            may_need_token: false,
         };
         let way = choose_way(&facts, |_| false);
         let (owner, is_reused) = match way {
