--- a/crates/cold/src/states.rs
+++ b/crates/cold/src/states.rs
@@ -91,6 +91,11 @@
         !self.silent.is_empty()
     }
 
+    /// Returns whether an upstream is silent, so that it may return cold.
+    pub fn is_silent(&self, upstream: u32) -> bool {
+        self.silent.contains_key(&upstream)
+    }
+
     /// Records that a connection to an upstream could be made; returns whether it has
     /// returned and is taken for cold for the duration `start`.
     pub fn record_reached(&mut self, now: Moment, run: UpstreamRun, start: Duration) -> bool {
--- a/crates/front/src/cold_budget.rs
+++ b/crates/front/src/cold_budget.rs
@@ -458,6 +458,12 @@
     entry: &'a UpstreamEntry,
     rank: u32,
     token: Option<HeldToken>,
+    /// Whether the request is relayed for another host, which has its own tokens.
+    is_for_other_host: bool,
+    /// Whether a relay knows that the upstream is cold, whatever this host knows.
+    is_cold_at_relay: bool,
+    /// Whether the upstream refused a connection.
+    was_refused: bool,
 }
 
 impl<'a> SendPermit<'a> {
@@ -472,11 +478,72 @@
             entry,
             rank,
             token,
+            is_for_other_host: false,
+            is_cold_at_relay: false,
+            was_refused: false,
+        }
+    }
+
+    /// Creates the permit for a request that is relayed for another host. It never uses
+    /// this host's tokens, so it allows no write to an upstream that needs one.
+    pub(crate) const fn for_other_host(control: &'a ColdControl, entry: &'a UpstreamEntry) -> Self {
+        Self {
+            control,
+            entry,
+            rank: u32::MAX,
+            token: None,
+            is_for_other_host: true,
+            is_cold_at_relay: false,
+            was_refused: false,
+        }
+    }
+
+    /// Returns whether the request holds a token, or may need one. It is then not relayed: a
+    /// token is valid for a short time, and only for a write by the host that holds it. An
+    /// upstream that this host could not reach may return cold, which only a connection of
+    /// this host shows.
+    pub(crate) fn may_need_token(&self) -> bool {
+        let control = self.control;
+        let upstream = upstream_run(self.entry).upstream;
+        if self.token.is_some() || control.states.lock().is_silent(upstream) {
+            return true;
+        }
+        let view = control.view.load();
+        let known = view.upstreams.get(&self.entry.id);
+        known.is_some_and(|known| control.cold_limit(control.clock.now(), known).is_some())
+    }
+
+    /// Lets the request be written only with a token, as a relay knows that the upstream is
+    /// cold; this host may learn of it later.
+    pub(crate) const fn require_token(&mut self) {
+        self.is_cold_at_relay = true;
+    }
+
+    /// Records that the upstream's relay could not reach it in time.
+    pub(crate) fn record_relay_timeout(&self) {
+        let control = self.control;
+        if control.is_limited(&self.entry.service) {
+            let (now, run) = (control.clock.now(), upstream_run(self.entry));
+            control.states.lock().record_unreachable(now, run, false);
+        }
+    }
+
+    /// Returns whether the upstream refused the connection and cold upstreams are limited.
+    pub(crate) fn is_refusal_relevant(&self) -> bool {
+        self.was_refused && self.control.is_limited(&self.entry.service)
+    }
+
+    /// Records how much longer an upstream says that it stays cold, in an answer that came
+    /// through a relay. That it answered says nothing about this host's own connections.
+    pub(crate) fn record_relayed_answer(&self, remaining_ms: Option<u64>) {
+        if let Some(remaining_ms) = remaining_ms {
+            self.control.record_response(self.entry, remaining_ms);
         }
     }
 
     /// Records the result of opening a connection for the request.
-    pub(crate) fn record_connection(&self, connected: Result<(), &DialError>) {
+    pub(crate) fn record_connection(&mut self, connected: Result<(), &DialError>) {
+        self.was_refused = matches!(connected, Err(DialError::Refused(_)));
         match connected {
             Ok(()) => self.control.record_reached(self.entry),
             Err(error) => self.control.record_unreachable(self.entry, error),
@@ -494,9 +561,14 @@
         let Some(known) = view.upstreams.get(&self.entry.id) else {
             return self.token.take().is_none_or(|token| token.is_valid(now));
         };
-        if control.cold_limit(now, known).is_none() {
+        let is_known_cold = control.cold_limit(now, known).is_some();
+        let is_cold_at_relay = self.is_cold_at_relay && control.is_limited(&known.entry.service);
+        if !is_known_cold && !is_cold_at_relay {
             return true;
         }
+        if self.is_for_other_host {
+            return false;
+        }
         let run = upstream_run(&known.entry);
         let held = self
             .token
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -10,6 +10,7 @@
 use crate::exchange::Exchanger;
 use crate::metrics::FrontMetrics;
 use crate::rank_loads::RankLoads;
+use crate::relay_client::{AttemptFacts, RelayClient};
 use crate::request::{ClientRequest, ResolvedRequest};
 use crate::view::{FrontView, SharedView};
 use cold::HeldToken;
@@ -69,6 +70,8 @@
     pub metrics: FrontMetrics,
     pub rank_loads: Mutex<RankLoads>,
     pub cold: Arc<ColdControl>,
+    /// `None` if this host uses no relays.
+    pub relay: Option<RelayClient>,
 }
 
 impl DispatchState {
@@ -88,7 +91,7 @@
     ///
     /// An upstream accepts a number of connections from all hosts together, and resets
     /// what is beyond it.
-    fn max_requests(&self, service: &ServiceName) -> u32 {
+    pub(crate) fn max_requests(&self, service: &ServiceName) -> u32 {
         let view = self.view.load();
         let sheet = view.sheet.as_ref();
         let Some(service) = sheet.and_then(|sheet| sheet.services.get(service)) else {
@@ -299,7 +302,11 @@
             history.sends += 1;
             let is_repeat = history.tried_upstreams.contains(&entry.id);
             history.tried_upstreams.push(entry.id.clone());
-            let outcome = self.send(request, &entry, is_repeat, expected, token).await;
+            let attempt = AttemptFacts {
+                is_repeat,
+                may_have_run: history.uncertain_cause.is_some(),
+            };
+            let outcome = self.send(request, &entry, attempt, expected, token).await;
             if outcome.is_ok() {
                 let now = state.clock.now();
                 let mut quarantine = state.quarantine.lock();
@@ -341,7 +348,7 @@
         &self,
         request: &ResolvedRequest,
         entry: &UpstreamEntry,
-        is_repeat: bool,
+        attempt: AttemptFacts,
         expected: Duration,
         token: Option<HeldToken>,
     ) -> Result<UpstreamAnswer, Cause> {
@@ -367,11 +374,33 @@
             report: None,
         };
         let max_requests = state.max_requests(&entry.service);
-        let exchanging =
-            state
-                .exchanger
-                .exchange(entry, request, is_repeat, max_requests, &mut permit);
-        let exchanged = exchanging.await;
+        let outgoing = request.outgoing();
+        let exchanger = &state.exchanger;
+        let exchanged = match &state.relay {
+            Some(relay) => {
+                relay
+                    .exchange(
+                        exchanger,
+                        entry,
+                        &outgoing,
+                        attempt,
+                        max_requests,
+                        &mut permit,
+                    )
+                    .await
+            }
+            None => {
+                exchanger
+                    .exchange(
+                        entry,
+                        &outgoing,
+                        attempt.is_repeat,
+                        max_requests,
+                        &mut permit,
+                    )
+                    .await
+            }
+        };
         guard.outcome = exchanged.outcome;
         guard.report = exchanged.report;
         drop(guard);
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -18,6 +18,8 @@
 use crate::peers::PeerRegistry;
 use crate::pool::ConnectionPool;
 use crate::random::RandomSource;
+use crate::relay_client::RelayClient;
+use crate::relay_server::{RelayServer, max_in_flight};
 use crate::replica::{FollowedTable, StoreReplica};
 use crate::reports::ReportChannel;
 use crate::send_budget::SendBudget;
@@ -31,6 +33,7 @@
 use log::info;
 use parking_lot::Mutex;
 use place::{MoveTracker, UpstreamSelector};
+use relay::{RelayAdmission, RelayMode, program_version};
 use retry::QuarantineList;
 use std::fmt;
 use std::io;
@@ -108,6 +111,7 @@
     scope: TaskScope,
     /// The listener for clients, for as long as connections are accepted.
     listener: Weak<TcpListener>,
+    relay: Option<RelayServer>,
 }
 
 #[derive(Debug)]
@@ -238,6 +242,7 @@
                     names: *self.platform.headers(),
                     memory: BodyMemory::new(memory_bytes / TOTAL_ANSWER_FRACTION),
                     max_answer: memory_bytes / ANSWER_FRACTION,
+                    metrics: self.metrics.clone(),
                 },
                 budgets: RetryBudgets::new(Arc::clone(&self.bounds)),
                 quarantine: Mutex::new(QuarantineList::new(SUSPECT_DURATION)),
@@ -248,10 +253,48 @@
                 metrics: self.metrics.clone(),
                 rank_loads: Mutex::default(),
                 cold: Arc::clone(&self.cold),
+                relay: self.build_relay_client(),
             }),
         }
     }
 
+    fn build_relay_client(&self) -> Option<RelayClient> {
+        let settings = &self.settings;
+        if settings.relay == RelayMode::Off {
+            return None;
+        }
+        Some(RelayClient {
+            mode: settings.relay,
+            host: settings.name.clone(),
+            port: relay_address(settings).port(),
+            program: program_version(env!("CARGO_PKG_VERSION")),
+            peers: Arc::clone(&self.peers),
+            admission: RelayAdmission::new(max_in_flight(self.memory_bytes())),
+            links: ConnectionPool::default(),
+            avoided: Mutex::default(),
+            rates: Mutex::default(),
+        })
+    }
+
+    /// Starts to relay requests of other hosts, if this host does.
+    async fn spawn_relay(
+        &self,
+        dispatcher: &Dispatcher,
+        memory: &BodyMemory,
+    ) -> Result<Option<RelayServer>, StartFailure> {
+        let Some(server) = RelayServer::new(&dispatcher.state, memory) else {
+            return Ok(None);
+        };
+        let listener = Arc::new(listen(relay_address(&self.settings)).await?);
+        let (accepting, connections) = (server.clone(), self.scope.clone());
+        self.scope.spawn_restarting("relay", move || {
+            accepting
+                .clone()
+                .accept(Arc::clone(&listener), connections.clone())
+        });
+        Ok(Some(server))
+    }
+
     fn spawn_pages(&self, ready: TcpListener, metrics: TcpListener, replica: &Arc<StoreReplica>) {
         let ready_page = Arc::new(ReadyPage {
             replica: Arc::clone(replica),
@@ -345,6 +388,7 @@
         let replica = context.build_replica();
         let dispatcher = context.build_dispatcher();
         let request_memory = BodyMemory::new(context.memory_bytes() / REQUEST_FRACTION);
+        let relay = context.spawn_relay(&dispatcher, &request_memory).await?;
         let clients = ClientServer::new(dispatcher.clone(), request_memory);
         let scope = &context.scope;
         let (listener, server) = (Arc::new(sockets.clients), clients.clone());
@@ -393,6 +437,7 @@
             is_stopping: context.is_stopping,
             scope: context.scope,
             listener: open_listener,
+            relay,
         })
     }
 
@@ -420,6 +465,7 @@
             ("processor", updated.millicores != current.millicores),
             ("memory", updated.memory_mb != current.memory_mb),
             ("link", updated.link_mbps != current.link_mbps),
+            ("relay", updated.relay != current.relay),
         ];
         let after_restart = changes.into_iter().filter(|(_, is_changed)| *is_changed);
         after_restart.map(|(name, _)| name).collect()
@@ -434,6 +480,9 @@
         info!(target: "host", "host={} state=stopping", self.settings.name);
         self.is_stopping.store(true, Ordering::SeqCst);
         self.clients.stop();
+        if let Some(relay) = &self.relay {
+            relay.stop();
+        }
         let max_duration = self.bounds.load().stop.mul_f64(STOP_FRACTION);
         let notice_duration = BALANCER_NOTICE_DURATION.min(max_duration / 2);
         let started_at = Instant::now();
@@ -451,10 +500,10 @@
             self.wait_until_answered(stop_at).await;
             // The requests of the last connections may still be on their way, and the last
             // answers have to leave the machine.
-            let begun = self.clients.begun();
+            let begun = self.begun();
             async_std::task::sleep(LINGER_DURATION).await;
-            let is_quiet = self.clients.begun() == begun;
-            if (is_quiet && self.clients.try_end()) || Instant::now() >= stop_at {
+            let is_quiet = self.begun() == begun;
+            if (is_quiet && self.try_end()) || Instant::now() >= stop_at {
                 break;
             }
         }
@@ -462,13 +511,41 @@
         info!(
             target: "host",
             "host={} state=stopped in_flight={}",
-            self.settings.name, self.clients.in_flight(),
+            self.settings.name, self.in_flight(),
         );
     }
 
+    /// Returns the number of requests of clients and of other hosts in flight.
+    fn in_flight(&self) -> u64 {
+        let relayed = self.relay.as_ref().map_or(0, RelayServer::in_flight);
+        self.clients.in_flight() + relayed
+    }
+
+    /// Returns the number of requests of clients and of other hosts begun so far.
+    fn begun(&self) -> u64 {
+        let relayed = self.relay.as_ref().map_or(0, RelayServer::begun);
+        self.clients.begun() + relayed
+    }
+
+    /// Lets no further request be read, of clients or of other hosts; returns `false`, and
+    /// lets them be read again, if one is in flight.
+    fn try_end(&self) -> bool {
+        let Some(relay) = &self.relay else {
+            return self.clients.try_end();
+        };
+        if !relay.try_end() {
+            return false;
+        }
+        if self.clients.try_end() {
+            return true;
+        }
+        relay.undo_end();
+        false
+    }
+
     /// Waits until no request is in flight, or until `stop_at`.
     async fn wait_until_answered(&self, stop_at: Instant) {
-        while self.clients.in_flight() > 0 && Instant::now() < stop_at {
+        while self.in_flight() > 0 && Instant::now() < stop_at {
             async_std::task::sleep(STOP_POLL_INTERVAL).await;
         }
     }
@@ -502,6 +579,12 @@
     }
 }
 
+/// Returns the address at which a host relays requests.
+fn relay_address(settings: &FrontSettings) -> SocketAddr {
+    let port = settings.internal.port().saturating_add(1);
+    SocketAddr::new(settings.internal.ip(), port)
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartFailure> {
     TcpListener::bind(address)
         .await
@@ -521,6 +604,9 @@
             .exchanger
             .pool
             .prune(now, |id| view.upstreams.contains_key(id));
+        if let Some(relay) = &state.relay {
+            relay.prune(now, |id| view.upstreams.contains_key(id));
+        }
         state.moves.lock().prune(now);
         state.cold.sweep(now);
         for _ in 0..MAX_SWEEP_PROBES {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -44,6 +44,9 @@
 mod pool;
 mod random;
 mod rank_loads;
+mod relay_client;
+mod relay_list;
+mod relay_server;
 mod replica;
 mod reports;
 mod request;
@@ -58,3 +61,4 @@
 };
 pub use host::{FrontHost, StartFailure};
 pub use logs::LineLog;
+pub use relay::RelayMode;
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -4,6 +4,7 @@
 //! `postcard` encoding. A message of owners names each upstream once, as repeated names
 //! would be most of its bytes.
 
+use crate::relay_list::{WireHostList, WireRelayOffer};
 use crate::replica::WireOrders;
 use crate::wire_cold::{WireCold, WireTokens, WireWant};
 use crate::wire_load::{WireLoad, WireObservation};
@@ -111,6 +112,8 @@
     pub cold: Vec<WireCold>,
     /// The greatest term that the host knows of.
     pub greatest_term: u64,
+    /// The host's offer to relay requests; `None` if it uses no relays.
+    pub relay: Option<WireRelayOffer>,
 }
 
 /// The versions of the store's rows that a host knows.
@@ -289,6 +292,8 @@
     pub cold: Vec<WireCold>,
     /// The greatest term that the sender knows of.
     pub greatest_term: u64,
+    /// The hosts of the receiver's domain that relay, if it does not know them.
+    pub relay_hosts: Option<WireHostList>,
 }
 
 impl LeaderReply {
@@ -304,6 +309,7 @@
             report_sent_at_us: 0,
             tokens: Vec::new(),
             cold: Vec::new(),
+            relay_hosts: None,
             standbys: self.standbys.clone(),
             successor: self.successor.clone(),
             entries_base,
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -49,6 +49,15 @@
     pub cold_upstreams: IntGauge,
     /// Times that this host led in a later term because it learned of a greater one.
     pub term_raises: IntCounter,
+    /// Sends of this host's requests, by way: `own` for a warm connection of its own,
+    /// `relayed`, or `new` for a new connection.
+    pub sends: IntCounterVec,
+    /// Connections opened to upstreams for requests, also for those of other hosts.
+    pub connections_opened: IntCounter,
+    /// Requests that a relay did not answer, by reason.
+    pub relay_failures: IntCounterVec,
+    /// Requests that this host was asked to relay, by verdict.
+    pub relayed_for_others: IntCounterVec,
 }
 
 impl FrontMetrics {
@@ -106,6 +115,21 @@
         registry.register(Box::new(cold_tokens.clone()))?;
         registry.register(Box::new(cold_requests.clone()))?;
         registry.register(Box::new(cold_found.clone()))?;
+        let sends = IntCounterVec::new(
+            Opts::new("trestle_sends_total", "Sends to upstreams"),
+            &["way"],
+        )?;
+        let relay_failures = IntCounterVec::new(
+            Opts::new("trestle_relay_failures_total", "Unanswered by a relay"),
+            &["reason"],
+        )?;
+        let relayed_for_others = IntCounterVec::new(
+            Opts::new("trestle_relayed_for_others_total", "Relayed requests"),
+            &["verdict"],
+        )?;
+        for vector in [&sends, &relay_failures, &relayed_for_others] {
+            registry.register(Box::new(vector.clone()))?;
+        }
         registry.register(Box::new(store_calls.clone()))?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
@@ -147,6 +171,13 @@
                 "trestle_term_raises_total",
                 "Terms taken because a greater one was known",
             )?,
+            sends,
+            connections_opened: counter(
+                "trestle_connections_opened_total",
+                "Connections opened to upstreams",
+            )?,
+            relay_failures,
+            relayed_for_others,
             registry,
         })
     }
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -11,6 +11,8 @@
     WirePreviousTerm, WireSheet,
 };
 use crate::peers::PeerRegistry;
+use crate::relay_client::RelayClient;
+use crate::relay_list::push_relay_list;
 use crate::replica::StoreReplica;
 use crate::send_budget::SendBudget;
 use crate::wire_load::{LoadList, WireLoad, WireObservation};
@@ -83,6 +85,7 @@
             if self.socket.local_addr().ok() == Some(leader) {
                 self.apply_report(&report, leader);
                 cold.accept(now, &cold.issue(&report));
+                self.update_own_relay_list(&report);
                 self.set_fleet_loads(&self.peers.next_fleet_loads().loads);
                 continue;
             }
@@ -188,6 +191,7 @@
             tokens: Vec::new(),
             cold: self.dispatcher.state.cold.known_cold(false),
             greatest_term: self.greatest_term(),
+            relay_hosts: None,
         };
         let changes = self.replica.entry_changes_since(known.entries);
         let mut replies = vec![first];
@@ -279,6 +283,7 @@
             wanted: Vec::new(),
             cold: state.cold.known_cold(true),
             greatest_term: self.greatest_term(),
+            relay: state.relay.as_ref().map(RelayClient::offer),
         }
     }
 
@@ -354,6 +359,7 @@
                         } else {
                             self.peers.next_fleet_loads()
                         };
+                        let relay_hosts = self.relay_list_for(term, &report);
                         let known = if self.has_send_room() {
                             report.known
                         } else {
@@ -363,6 +369,7 @@
                             self.replies(term, None, &known, is_for_standby, load_list);
                         replies[0].report_sent_at_us = report.sent_at_us;
                         replies[0].tokens = tokens;
+                        push_relay_list(&mut replies, relay_hosts);
                         for bytes in encode_all(replies) {
                             self.send(&bytes, peer).await;
                         }
@@ -384,6 +391,7 @@
                         .set_host_count(reply.host_count);
                     self.set_fleet_loads(&reply.fleet_loads);
                     self.record_load_age(&reply);
+                    self.peers.relay_lists.apply(reply.relay_hosts);
                     let changes = reply.entries.into_iter().map(EntryChange::from);
                     let changes: Vec<EntryChange> = changes.collect();
                     self.replica
