--- a/crates/ebonytrestle/src/main.rs
+++ b/crates/ebonytrestle/src/main.rs
@@ -8,7 +8,6 @@
 mod signals;
 
 use eyre::{Result, WrapErr, eyre};
-use front::FrontOptions;
 use host::{EntryHost, HostSettings, LogSettings};
 use log::{LevelFilter, info};
 use options::{Command, USAGE};
@@ -59,11 +58,8 @@
             platform,
             settings,
             check_only,
-            rank_shares,
-        } => {
-            let options = FrontOptions { rank_shares };
-            front_host::run(&platform, settings, check_only, options)
-        }
+            options,
+        } => front_host::run(&platform, settings, check_only, options),
         Command::Serve(path) => {
             let settings = load_settings(&path)?;
             start_log(&settings.log)?;
--- a/crates/ebonytrestle/src/options.rs
+++ b/crates/ebonytrestle/src/options.rs
@@ -1,5 +1,6 @@
 //! Command line parsing.
 
+use front::{FrontOptions, RelayMode};
 use getopts::Options;
 use std::fmt;
 use std::path::PathBuf;
@@ -7,11 +8,14 @@
 /// Help text.
 pub(crate) const USAGE: &str = "\
 usage: ebonytrestle --settings FILE [--check]
-       ebonytrestle --platform NAME [--settings FILE] [--rank-shares] [--check]
+       ebonytrestle --platform NAME [--settings FILE] [--relay MODE] [--rank-shares]
+                    [--check]
 
     -s, --settings FILE  settings in JSON
     -p, --platform NAME  run on a platform, with settings in the platform's format;
                          without --settings, the platform's variable has the path
+        --relay MODE     with --platform: relay requests between the hosts of a failure
+                         domain: off (the default), on, or auto
         --rank-shares    on a platform, admit requests by shares of ranks when a service
                          is short; to be set on all hosts
         --check          print the checked settings and exit
@@ -36,8 +40,8 @@
         settings: Option<PathBuf>,
         /// Whether to print the checked settings instead of running the host.
         check_only: bool,
-        /// Whether requests are admitted by shares of ranks when a service is short.
-        rank_shares: bool,
+        /// Options of the host that are no settings of the platform.
+        options: FrontOptions,
     },
     /// Print the help text.
     Help,
@@ -61,6 +65,7 @@
     options
         .optopt("s", "settings", "", "FILE")
         .optopt("p", "platform", "", "NAME")
+        .optopt("", "relay", "", "MODE")
         .optflag("", "check", "")
         .optflag("", "rank-shares", "")
         .optflag("h", "help", "")
@@ -77,14 +82,23 @@
     if let Some(argument) = matches.free.first() {
         return Err(UsageError(format!("unexpected argument `{argument}`")));
     }
+    let relay = matches.opt_str("relay").map(|mode| mode.parse());
+    let relay = relay.transpose();
+    let relay: Option<RelayMode> = relay.map_err(|error| UsageError(format!("{error}")))?;
     if let Some(platform) = matches.opt_str("platform") {
         return Ok(Command::ServeOnPlatform {
             platform,
             settings: matches.opt_str("settings").map(PathBuf::from),
             check_only: matches.opt_present("check"),
-            rank_shares: matches.opt_present("rank-shares"),
+            options: FrontOptions {
+                rank_shares: matches.opt_present("rank-shares"),
+                relay: relay.unwrap_or_default(),
+            },
         });
     }
+    if relay.is_some() {
+        return Err(UsageError("--relay needs --platform".to_owned()));
+    }
     if matches.opt_present("rank-shares") {
         return Err(UsageError("--rank-shares requires --platform".to_owned()));
     }
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -1,13 +1,20 @@
 //! Dispatch of client requests: resolve the route, select an upstream, send and retry.
 
+mod evacuation;
+
 use crate::adapter::SharedBounds;
 use crate::answer::UpstreamAnswer;
 use crate::budgets::RetryBudgets;
+use crate::cold_budget::ColdControl;
+use crate::cold_dispatch::{ColdTarget, split_cold};
 use crate::exchange::Exchanger;
 use crate::metrics::FrontMetrics;
+use crate::rank_loads::RankLoads;
 use crate::rank_shares::RankShares;
+use crate::relay_client::{AttemptFacts, RelayClient};
 use crate::request::{ClientRequest, ResolvedRequest};
 use crate::view::{FrontView, SharedView};
+use cold::HeldToken;
 use fleet::{KnownUpstream, Presence, UpstreamEntry};
 use grant::{KeyCounts, OwnedRange};
 use indexmap::IndexMap;
@@ -28,7 +35,7 @@
 const MOVE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Default time after which a refused client should retry, such as while upstreams or
 /// owners are missing.
-const RETRY_AFTER: Duration = Duration::from_millis(400);
+pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Fraction of the target latency within which the answer must be expected when a
 /// request is sent; the rest covers the error of the estimate.
 const TARGET_LATENCY_FRACTION: f64 = 0.9;
@@ -62,6 +69,10 @@
     pub domain: DomainName,
     pub bounds: SharedBounds,
     pub metrics: FrontMetrics,
+    pub rank_loads: Mutex<RankLoads>,
+    pub cold: Arc<ColdControl>,
+    /// `None` if this host uses no relays.
+    pub relay: Option<RelayClient>,
     /// Admission by shares of ranks, if it is enabled.
     pub rank_shares: Option<RankShares>,
 }
@@ -73,7 +84,7 @@
             id: entry.id.clone(),
             slots: entry.slots,
             is_local: entry.domain == self.domain,
-            is_cold: now < upstream.cold_until,
+            is_cold: self.cold.is_cold(now, upstream),
             max_requests: self.max_requests(&entry.service),
         }
     }
@@ -83,7 +94,7 @@
     ///
     /// An upstream accepts a number of connections from all hosts together, and resets
     /// what is beyond it.
-    fn max_requests(&self, service: &ServiceName) -> u32 {
+    pub(crate) fn max_requests(&self, service: &ServiceName) -> u32 {
         let view = self.view.load();
         let sheet = view.sheet.as_ref();
         let Some(service) = sheet.and_then(|sheet| sheet.services.get(service)) else {
@@ -116,10 +127,22 @@
     failed_answer: Option<UpstreamAnswer>,
 }
 
+impl AttemptHistory {
+    /// Keeps a server error; one of an upstream that has run the request outweighs one
+    /// that says that it has not.
+    fn record_failed(&mut self, answer: UpstreamAnswer) {
+        if self.failed_answer.is_none() || !answer.says_not_run() {
+            self.failed_answer = Some(answer);
+        }
+    }
+}
+
 /// Where a request can go now.
 enum DispatchTarget {
     /// The upstream, and the expected time until its answer.
     Send(Box<UpstreamEntry>, Duration),
+    /// A cold upstream, for which the request needs a token.
+    Cold(Box<ColdTarget>),
     /// The key has no holder.
     Moving {
         /// Time for which the request may wait for one.
@@ -142,6 +165,12 @@
 impl Drop for SendGuard<'_> {
     fn drop(&mut self) {
         let now = self.state.clock.now();
+        if self
+            .report
+            .is_some_and(|report| report.work_percent.is_some())
+        {
+            self.state.metrics.momentary_figures.inc();
+        }
         let mut selector = self.state.selector.lock();
         selector.record_outcome(now, self.work, &self.sent, self.outcome, self.report);
     }
@@ -155,7 +184,7 @@
     /// Fails when there is no sheet yet, no route matches, or the request has no id.
     pub(crate) fn resolve(&self, request: ClientRequest) -> Result<ResolvedRequest, Refusal> {
         let view = self.state.view.load();
-        if view.sheet.is_none() {
+        if view.sheet.is_none() || !view.orders.is_known() {
             return Err(Refusal::new(Cause::NoConfiguration).with_retry_after(RETRY_AFTER));
         }
         let host = request.head.headers.get("host").unwrap_or_default();
@@ -190,6 +219,7 @@
     ) -> Result<UpstreamAnswer, Refusal> {
         let mut history = AttemptHistory::default();
         self.record_key_load(request);
+        self.state.record_rank_load(request);
         let slot_ms = self.expected_slot_ms(request);
         let outcome = match self.refuse_by_rank(request, slot_ms) {
             Some(refusal) => Err(refusal),
@@ -201,10 +231,15 @@
         // A refusal would say that the request has not run, although an upstream ran it.
         let outcome = match (outcome, history.failed_answer.take()) {
             (Err(_), Some(failed_answer)) => Ok(failed_answer),
+            (Ok(answer), Some(failed_answer)) if answer.says_not_run() => Ok(failed_answer),
             (outcome, _) => {
                 outcome.map_err(|refusal| self.final_refusal(request, &history, refusal))
             }
         };
+        let outcome = match (outcome, history.uncertain_cause) {
+            (Ok(answer), Some(cause)) if answer.says_not_run() => Err(cause.into()),
+            (outcome, _) => outcome,
+        };
         if let Some(rank_shares) = &self.state.rank_shares {
             let verdict = outcome.as_ref().err().map(|refusal| refusal.verdict());
             rank_shares.record_outcome(request, slot_ms, verdict == Some(Verdict::NotRun));
@@ -258,8 +293,15 @@
                 return Err(Cause::RequestTimeout.into());
             }
             self.check_quarantine(now, request)?;
-            let (entry, expected) = match self.find_target(now, request, history) {
-                DispatchTarget::Send(entry, expected) => (entry, expected),
+            let (entry, expected, token) = match self.find_target(now, request, history) {
+                DispatchTarget::Send(entry, expected) => (entry, expected, None),
+                DispatchTarget::Cold(target) => {
+                    let waiting = self.wait_for_token(request, &target, is_client_gone);
+                    let Some(token) = waiting.await? else {
+                        continue;
+                    };
+                    (Box::new(target.entry), target.expected, Some(token))
+                }
                 DispatchTarget::Refused(refusal) => return Err(refusal),
                 DispatchTarget::Moving {
                     remaining_wait,
@@ -275,6 +317,9 @@
             if history.sends == 0 {
                 state.budgets.record_first_attempt(&request.service);
             } else if !state.budgets.try_spend(&request.service) {
+                if let Some(token) = token {
+                    state.cold.put_back(token);
+                }
                 return Err(Cause::Overloaded.into());
             } else {
                 state.metrics.retries.inc();
@@ -282,7 +327,11 @@
             history.sends += 1;
             let is_repeat = history.tried_upstreams.contains(&entry.id);
             history.tried_upstreams.push(entry.id.clone());
-            let outcome = self.send(request, &entry, is_repeat, expected).await;
+            let attempt = AttemptFacts {
+                is_repeat,
+                may_have_run: history.uncertain_cause.is_some(),
+            };
+            let outcome = self.send(request, &entry, attempt, expected, token).await;
             if outcome.is_ok() {
                 let now = state.clock.now();
                 let mut quarantine = state.quarantine.lock();
@@ -297,7 +346,7 @@
                     if !has_attempts_left {
                         return Ok(answer);
                     }
-                    history.failed_answer = Some(answer);
+                    history.record_failed(answer);
                 }
                 Err(cause) => {
                     history.last_cause = Some(cause);
@@ -324,10 +373,12 @@
         &self,
         request: &ResolvedRequest,
         entry: &UpstreamEntry,
-        is_repeat: bool,
+        attempt: AttemptFacts,
         expected: Duration,
+        token: Option<HeldToken>,
     ) -> Result<UpstreamAnswer, Cause> {
         let state = &self.state;
+        let mut permit = self.permit(request, entry, token);
         let now = state.clock.now();
         debug!(
             target: "send",
@@ -348,23 +399,51 @@
             report: None,
         };
         let max_requests = state.max_requests(&entry.service);
-        let exchanging = state
-            .exchanger
-            .exchange(entry, request, is_repeat, max_requests);
-        let exchanged = exchanging.await;
-        guard.outcome = exchanged.outcome;
-        guard.report = exchanged.report;
+        let outgoing = request.outgoing();
+        let exchanger = &state.exchanger;
+        let ended = match &state.relay {
+            Some(relay) => {
+                relay
+                    .exchange(
+                        exchanger,
+                        entry,
+                        &outgoing,
+                        attempt,
+                        max_requests,
+                        &mut permit,
+                    )
+                    .await
+            }
+            None => {
+                exchanger
+                    .exchange(
+                        entry,
+                        &outgoing,
+                        attempt.is_repeat,
+                        max_requests,
+                        &mut permit,
+                    )
+                    .await
+            }
+        };
+        guard.outcome = ended.outcome;
+        guard.report = ended.report;
         drop(guard);
-        exchanged.result
+        ended.result
     }
 
     /// Connects to an upstream to check that it can be reached again, and pools the
     /// connection.
     pub(crate) async fn probe(self, entry: UpstreamEntry) {
         let state = &self.state;
-        let Ok(stream) = h1::dial(entry.address, crate::pool::CONNECT_TIMEOUT).await else {
-            return;
+        let stream = match h1::dial(entry.address, crate::pool::CONNECT_TIMEOUT).await {
+            Ok(stream) => stream,
+            Err(error) => {
+                state.cold.record_unreachable(&entry, &error);
+                return;
+            }
         };
+        state.cold.record_reached(&entry);
         info!(target: "upstream", "upstream={} state=reachable", entry.id);
         let now = state.clock.now();
         let connection = crate::pool::ReadyConnection::new(stream);
@@ -390,9 +469,10 @@
     /// refuses connections.
     async fn record_loss(&self, request: &ResolvedRequest, entry: &UpstreamEntry) {
         let probe = h1::dial(entry.address, crate::pool::CONNECT_TIMEOUT).await;
-        if !matches!(probe, Err(h1::DialError::Refused(_))) {
+        let Err(error @ h1::DialError::Refused(_)) = &probe else {
             return;
-        }
+        };
+        self.state.cold.record_unreachable(entry, error);
         let now = self.state.clock.now();
         info!(
             target: "suspect",
@@ -450,6 +530,9 @@
             .get(&request.service)
             .and_then(|map| map.range_of(key));
         let first = range.map_or(0, |range| range.first);
+        if range.is_some_and(|range| self.state.is_holder_closed(now, range, view)) {
+            return self.state.refuse_evacuated(request);
+        }
         let Some(upstream) = range.and_then(|range| self.usable_holder(now, range, view)) else {
             let service = &request.service;
             let service_time = self.state.selector.lock().mean_service_time(service);
@@ -504,6 +587,7 @@
         };
         let mut candidates = Vec::with_capacity(ids.len());
         let mut tried = Vec::new();
+        let mut is_evacuated = false;
         for id in ids {
             let Some(upstream) = view.upstreams.get(id) else {
                 continue;
@@ -511,6 +595,11 @@
             if !upstream.accepts_requests(now) {
                 continue;
             }
+            let phase = self.state.domain_phase(now, view, &upstream.entry.domain);
+            if !phase.accepts_keyless() {
+                is_evacuated = true;
+                continue;
+            }
             let candidate = self.state.candidate(now, upstream);
             if history.tried_upstreams.contains(id) {
                 tried.push(candidate);
@@ -529,7 +618,21 @@
             }
             candidates = tried;
         }
-        self.select_target(now, request, &candidates, view)
+        if candidates.is_empty() && is_evacuated {
+            return self.state.refuse_evacuated(request);
+        }
+        // Requests without a key go to cold upstreams only if no other has room.
+        let (warm, cold) = split_cold(&self.state, candidates, &request.service);
+        if cold.is_empty() {
+            return self.select_target(now, request, &warm, view);
+        }
+        if !warm.is_empty() {
+            let target = self.select_target(now, request, &warm, view);
+            if matches!(target, DispatchTarget::Send(..)) {
+                return target;
+            }
+        }
+        self.select_target(now, request, &cold, view)
     }
 
     fn select_target(
@@ -549,7 +652,12 @@
         drop(selector);
         match selection {
             Selection::Send { id, expected } => match view.upstreams.get(&id) {
-                Some(upstream) => DispatchTarget::Send(Box::new(upstream.entry.clone()), expected),
+                Some(upstream) => {
+                    match ColdTarget::find(&self.state, now, upstream, expected, &limits) {
+                        Some(target) => DispatchTarget::Cold(Box::new(target)),
+                        None => DispatchTarget::Send(Box::new(upstream.entry.clone()), expected),
+                    }
+                }
                 None => DispatchTarget::Refused(
                     Refusal::new(Cause::NoOwner).with_retry_after(RETRY_AFTER),
                 ),
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -6,6 +6,7 @@
 use crate::body_memory::BodyMemory;
 use crate::budgets::RetryBudgets;
 use crate::clients::ClientServer;
+use crate::cold_budget::ColdControl;
 use crate::counted_store::CountedStore;
 use crate::dispatch::{DispatchState, Dispatcher};
 use crate::exchange::Exchanger;
@@ -18,6 +19,8 @@
 use crate::pool::ConnectionPool;
 use crate::random::RandomSource;
 use crate::rank_shares::RankShares;
+use crate::relay_client::RelayClient;
+use crate::relay_server::{RelayServer, max_in_flight};
 use crate::replica::{FollowedTable, StoreReplica};
 use crate::reports::ReportChannel;
 use crate::send_budget::SendBudget;
@@ -31,13 +34,14 @@
 use log::info;
 use parking_lot::Mutex;
 use place::{MoveTracker, UpstreamSelector};
+use relay::{RelayAdmission, RelayMode, program_version};
 use retry::QuarantineList;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Weak};
+use std::time::{Duration, Instant};
 use store::RowStore;
 
 /// Fraction of the host's memory that the bodies of all requests together may take. The
@@ -55,8 +59,12 @@
 /// Fraction of the time until the process is killed within which a stop must end.
 const STOP_FRACTION: f64 = 0.9;
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Time for the last answers to leave the machine.
+/// Time for the last answers to leave the machine, and for the requests of connections
+/// that were just accepted to arrive.
 const LINGER_DURATION: Duration = Duration::from_millis(60);
+/// Time that a stop keeps for its last connections after it has closed its listener.
+const MAX_CLOSE_DURATION: Duration = Duration::from_millis(240);
+const LISTENER_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Interval at which expired upstreams and connections are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum number of upstreams that a host probes in one sweep: 20 connections per
@@ -97,6 +105,8 @@
 pub struct FrontOptions {
     /// Whether requests are admitted by shares of ranks when a service is short.
     pub rank_shares: bool,
+    /// Whether the host relays requests, at the port next to the internal one.
+    pub relay: RelayMode,
 }
 
 /// A running front host.
@@ -109,6 +119,9 @@
     dispatcher: Dispatcher,
     is_stopping: Arc<AtomicBool>,
     scope: TaskScope,
+    /// The listener for clients, for as long as connections are accepted.
+    listener: Weak<TcpListener>,
+    relay: Option<RelayServer>,
 }
 
 #[derive(Debug)]
@@ -175,6 +188,7 @@
     peers: Arc<PeerRegistry>,
     bounds: SharedBounds,
     random: Arc<RandomSource>,
+    cold: Arc<ColdControl>,
 }
 
 impl HostContext {
@@ -182,8 +196,17 @@
         let clock: Arc<dyn Clock> = Arc::new(BootClock);
         let metrics = FrontMetrics::register().map_err(StartFailure::Metrics)?;
         let random = Arc::new(RandomSource::new(&loaded.settings, kernel::wall_clock_ms()));
-        let bounds = ArcSwap::from_pointee(loaded.settings.bounds);
+        let bounds: SharedBounds = Arc::new(ArcSwap::from_pointee(loaded.settings.bounds));
         let store_calls = metrics.store_calls.clone();
+        let view = Arc::new(SharedView::default());
+        let peers = Arc::new(PeerRegistry::new(Arc::clone(&clock), Arc::clone(&random)));
+        let cold = ColdControl::new(
+            Arc::clone(&clock),
+            Arc::clone(&view),
+            Arc::clone(&bounds),
+            Arc::clone(&peers),
+            metrics.clone(),
+        );
         Ok(Self {
             settings: loaded.settings,
             store: Arc::new(CountedStore::new(loaded.platform.store(), store_calls)),
@@ -191,11 +214,12 @@
             metrics,
             scope: TaskScope::new(),
             is_stopping: Arc::new(AtomicBool::new(false)),
-            view: Arc::new(SharedView::default()),
-            peers: Arc::new(PeerRegistry::new(Arc::clone(&clock), Arc::clone(&random))),
-            bounds: Arc::new(bounds),
+            view,
+            peers,
+            bounds,
             random,
             clock,
+            cold: Arc::new(cold),
         })
     }
 
@@ -207,6 +231,7 @@
             Arc::clone(&self.view),
             self.metrics.clone(),
             timing,
+            Arc::clone(&self.cold),
         ))
     }
 
@@ -234,6 +259,7 @@
                     names: *self.platform.headers(),
                     memory: BodyMemory::new(memory_bytes / TOTAL_ANSWER_FRACTION),
                     max_answer: memory_bytes / ANSWER_FRACTION,
+                    metrics: self.metrics.clone(),
                 },
                 budgets: RetryBudgets::new(Arc::clone(&self.bounds)),
                 quarantine: Mutex::new(QuarantineList::new(SUSPECT_DURATION)),
@@ -242,11 +268,51 @@
                 domain: self.settings.domain.clone(),
                 bounds: Arc::clone(&self.bounds),
                 metrics: self.metrics.clone(),
+                rank_loads: Mutex::default(),
+                cold: Arc::clone(&self.cold),
+                relay: self.build_relay_client(options.relay),
                 rank_shares,
             }),
         })
     }
 
+    fn build_relay_client(&self, mode: RelayMode) -> Option<RelayClient> {
+        let settings = &self.settings;
+        if mode == RelayMode::Off {
+            return None;
+        }
+        Some(RelayClient {
+            mode,
+            host: settings.name.clone(),
+            port: relay_address(settings).port(),
+            program: program_version(env!("CARGO_PKG_VERSION")),
+            peers: Arc::clone(&self.peers),
+            admission: RelayAdmission::new(max_in_flight(self.memory_bytes())),
+            links: ConnectionPool::default(),
+            avoided: Mutex::default(),
+            rates: Mutex::default(),
+        })
+    }
+
+    /// Starts to relay requests of other hosts, if this host does.
+    async fn spawn_relay(
+        &self,
+        dispatcher: &Dispatcher,
+        memory: &BodyMemory,
+    ) -> Result<Option<RelayServer>, StartFailure> {
+        let Some(server) = RelayServer::new(&dispatcher.state, memory) else {
+            return Ok(None);
+        };
+        let listener = Arc::new(listen(relay_address(&self.settings)).await?);
+        let (accepting, connections) = (server.clone(), self.scope.clone());
+        self.scope.spawn_restarting("relay", move || {
+            accepting
+                .clone()
+                .accept(Arc::clone(&listener), connections.clone())
+        });
+        Ok(Some(server))
+    }
+
     fn spawn_pages(&self, ready: TcpListener, metrics: TcpListener, replica: &Arc<StoreReplica>) {
         let ready_page = Arc::new(ReadyPage {
             replica: Arc::clone(replica),
@@ -352,9 +418,11 @@
         let replica = context.build_replica();
         let dispatcher = context.build_dispatcher(options)?;
         let request_memory = BodyMemory::new(context.memory_bytes() / REQUEST_FRACTION);
+        let relay = context.spawn_relay(&dispatcher, &request_memory).await?;
         let clients = ClientServer::new(dispatcher.clone(), request_memory);
         let scope = &context.scope;
         let (listener, server) = (Arc::new(sockets.clients), clients.clone());
+        let open_listener = Arc::downgrade(&listener);
         let connections = scope.clone();
         scope.spawn_restarting("clients", move || {
             server
@@ -398,9 +466,16 @@
             dispatcher: host_dispatcher,
             is_stopping: context.is_stopping,
             scope: context.scope,
+            listener: open_listener,
+            relay,
         })
     }
 
+    /// Returns the number of connections that the host has accepted from clients.
+    pub fn accepted_connections(&self) -> u64 {
+        self.clients.accepted()
+    }
+
     /// Applies changed settings, and returns the names of those that take effect only
     /// after a restart.
     ///
@@ -434,20 +509,30 @@
         info!(target: "host", "host={} state=stopping", self.settings.name);
         self.is_stopping.store(true, Ordering::SeqCst);
         self.clients.stop();
+        if let Some(relay) = &self.relay {
+            relay.stop();
+        }
         let max_duration = self.bounds.load().stop.mul_f64(STOP_FRACTION);
         let notice_duration = BALANCER_NOTICE_DURATION.min(max_duration / 2);
+        let started_at = Instant::now();
+        let stop_at = started_at + max_duration;
         async_std::task::sleep(notice_duration).await;
         self.clients.close();
-        let mut elapsed = notice_duration;
+        let close_duration = MAX_CLOSE_DURATION.min(max_duration / 4);
+        self.wait_until_answered(started_at + max_duration.saturating_sub(close_duration))
+            .await;
+        self.clients.stop_accepting();
+        while self.listener.strong_count() > 0 && Instant::now() < stop_at {
+            async_std::task::sleep(LISTENER_POLL_INTERVAL).await;
+        }
         loop {
-            while self.clients.in_flight() > 0 && elapsed < max_duration {
-                async_std::task::sleep(STOP_POLL_INTERVAL).await;
-                elapsed += STOP_POLL_INTERVAL;
-            }
+            self.wait_until_answered(stop_at).await;
+            // The requests of the last connections may still be on their way, and the last
+            // answers have to leave the machine.
+            let begun = self.begun();
             async_std::task::sleep(LINGER_DURATION).await;
-            elapsed += LINGER_DURATION;
-            // A request may have arrived while the last answers left.
-            if self.clients.in_flight() == 0 || elapsed >= max_duration {
+            let is_quiet = self.begun() == begun;
+            if (is_quiet && self.try_end()) || Instant::now() >= stop_at {
                 break;
             }
         }
@@ -455,9 +540,44 @@
         info!(
             target: "host",
             "host={} state=stopped in_flight={}",
-            self.settings.name, self.clients.in_flight(),
+            self.settings.name, self.in_flight(),
         );
     }
+
+    /// Returns the number of requests of clients and of other hosts in flight.
+    fn in_flight(&self) -> u64 {
+        let relayed = self.relay.as_ref().map_or(0, RelayServer::in_flight);
+        self.clients.in_flight() + relayed
+    }
+
+    /// Returns the number of requests of clients and of other hosts begun so far.
+    fn begun(&self) -> u64 {
+        let relayed = self.relay.as_ref().map_or(0, RelayServer::begun);
+        self.clients.begun() + relayed
+    }
+
+    /// Lets no further request be read, of clients or of other hosts; returns `false`, and
+    /// lets them be read again, if one is in flight.
+    fn try_end(&self) -> bool {
+        let Some(relay) = &self.relay else {
+            return self.clients.try_end();
+        };
+        if !relay.try_end() {
+            return false;
+        }
+        if self.clients.try_end() {
+            return true;
+        }
+        relay.undo_end();
+        false
+    }
+
+    /// Waits until no request is in flight, or until `stop_at`.
+    async fn wait_until_answered(&self, stop_at: Instant) {
+        while self.in_flight() > 0 && Instant::now() < stop_at {
+            async_std::task::sleep(STOP_POLL_INTERVAL).await;
+        }
+    }
 }
 
 fn spawn_pages(
@@ -488,6 +608,12 @@
     }
 }
 
+/// Returns the address at which a host relays requests.
+fn relay_address(settings: &FrontSettings) -> SocketAddr {
+    let port = settings.internal.port().saturating_add(1);
+    SocketAddr::new(settings.internal.ip(), port)
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartFailure> {
     TcpListener::bind(address)
         .await
@@ -507,7 +633,17 @@
             .exchanger
             .pool
             .prune(now, |id| view.upstreams.contains_key(id));
+        if let Some(relay) = &state.relay {
+            relay.prune(now, |id| view.upstreams.contains_key(id));
+        }
         state.moves.lock().prune(now);
+        state.cold.sweep(now);
+        for _ in 0..MAX_SWEEP_PROBES {
+            let Some(check) = state.cold.next_health_check(now) else {
+                break;
+            };
+            scope.spawn(dispatcher.clone().check_health(check));
+        }
         let probes = state.selector.lock().drain_probes(now, MAX_SWEEP_PROBES);
         for id in probes {
             if let Some(known) = view.upstreams.get(&id) {
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -4,6 +4,9 @@
 //! `postcard` encoding. A message of owners names each upstream once, as repeated names
 //! would be most of its bytes.
 
+use crate::relay_list::{WireHostList, WireRelayOffer};
+use crate::replica::WireOrders;
+use crate::wire_cold::{WireCold, WireTokens, WireWant};
 use crate::wire_load::{WireLoad, WireObservation};
 use crate::wire_share::{WireDemand, WireServiceShares};
 use fleet::{EntryChange, ReportedState, UpstreamEntry};
@@ -100,6 +103,18 @@
     pub reaches_store: bool,
     /// The versions that the host knows.
     pub known: KnownVersions,
+    /// When the report was sent, on the host's clock, in microseconds.
+    pub sent_at_us: u64,
+    /// Whether it was sent before it was due, to ask for tokens.
+    pub is_early: bool,
+    /// Tokens for cold upstreams that requests wait for.
+    pub wanted: Vec<WireWant>,
+    /// Upstreams that the host found cold.
+    pub cold: Vec<WireCold>,
+    /// The greatest term that the host knows of.
+    pub greatest_term: u64,
+    /// The host's offer to relay requests; `None` if it uses no relays.
+    pub relay: Option<WireRelayOffer>,
     /// Work that was offered since the last report; empty without shares of ranks.
     pub demand: WireDemand,
 }
@@ -113,6 +128,19 @@
     pub entries: u64,
     /// Version of the sheet; 0 without one.
     pub sheet: u64,
+    /// Version of the orders to evacuate failure domains; 0 while they are unknown.
+    pub orders: u64,
+}
+
+impl KnownVersions {
+    /// Returns these versions with that of `known` for the orders to evacuate: they are
+    /// short and urgent, so they are sent even if the link has no room for the rest.
+    pub(crate) fn except_orders(&self, known: &Self) -> Self {
+        Self {
+            orders: known.orders,
+            ..self.clone()
+        }
+    }
 }
 
 /// The sheet in a message of the leader.
@@ -255,6 +283,20 @@
     pub standbys: Vec<String>,
     /// Addresses of all hosts, for a standby that may have to lead.
     pub host_addresses: Vec<SocketAddr>,
+    /// Orders to evacuate failure domains, if the receiver does not know them.
+    pub orders: Option<WireOrders>,
+    /// Time since `fleet_loads` were computed, in milliseconds.
+    pub fleet_loads_age_ms: u32,
+    /// Time stamp of the report that this replies to; 0 for an announcement.
+    pub report_sent_at_us: u64,
+    /// Tokens that the report asked for.
+    pub tokens: Vec<WireTokens>,
+    /// Upstreams that a host found cold.
+    pub cold: Vec<WireCold>,
+    /// The greatest term that the sender knows of.
+    pub greatest_term: u64,
+    /// The hosts of the receiver's domain that relay, if it does not know them.
+    pub relay_hosts: Option<WireHostList>,
     /// Shares of ranks, by service; empty without them.
     pub rank_shares: Vec<WireServiceShares>,
 }
@@ -268,6 +310,11 @@
             owners: Vec::new(),
             fleet_loads: Vec::new(),
             host_addresses: Vec::new(),
+            orders: None,
+            report_sent_at_us: 0,
+            tokens: Vec::new(),
+            cold: Vec::new(),
+            relay_hosts: None,
             rank_shares: Vec::new(),
             standbys: self.standbys.clone(),
             successor: self.successor.clone(),
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -2,14 +2,16 @@
 
 use crate::message::{HostReport, KnownVersions, LeaderReply};
 use crate::random::RandomSource;
-use crate::wire_load::WireLoad;
+use crate::relay_list::RelayLists;
+use crate::wire_load::{LoadList, WireLoad};
 use async_channel::{Receiver, Sender, bounded};
 use async_std::future::timeout;
-use grant::{KeyLoads, PreviousTerm};
+use grant::{KeyLoads, OwnerMap, PreviousTerm, TermFloor};
 use indexmap::IndexMap;
 use kernel::{Clock, DomainName, Moment, ServiceName, UpstreamId};
 use parking_lot::Mutex;
-use place::{FleetLoads, ObservedLoad};
+use place::{FleetLoads, HolderPace, ObservedLoad};
+use relay::RelayHost;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,6 +52,8 @@
     address: SocketAddr,
     reaches_store: bool,
     known: KnownVersions,
+    /// Where the host relays requests, if it does.
+    relay: Option<RelayHost>,
 }
 
 /// What this host knows of the leader and, while it leads, of the other hosts.
@@ -61,6 +65,7 @@
     wake_sender: Sender<()>,
     wake_receiver: Receiver<()>,
     state: Mutex<PeerState>,
+    pub relay_lists: RelayLists,
 }
 
 /// What the lease showed when this host started.
@@ -122,6 +127,7 @@
     loads_updated_at: Moment,
     loads_offset: usize,
     decayed_at: Moment,
+    term_floor: TermFloor,
 }
 
 impl PeerRegistry {
@@ -157,7 +163,9 @@
                 loads_updated_at: Moment::ZERO,
                 loads_offset: 0,
                 decayed_at,
+                term_floor: TermFloor::default(),
             }),
+            relay_lists: RelayLists::default(),
         }
     }
 
@@ -171,6 +179,12 @@
         state.leader = leader;
     }
 
+    /// Has a report sent before it is due.
+    pub(crate) fn wake_reports(&self) {
+        // The channel holds one wake-up, which is enough.
+        let _is_sent = self.wake_sender.try_send(());
+    }
+
     /// Waits until a report is due: for `interval`, or until woken early, such as when
     /// the leader changes.
     pub(crate) async fn wait_for_report(&self, interval: Duration) {
@@ -325,10 +339,31 @@
     /// standbys.
     pub(crate) fn set_leading(&self, leading_term: Option<u64>, standbys: &[String]) {
         let mut state = self.state.lock();
+        state.term_floor.record_term(leading_term.unwrap_or(0));
         state.leading_term = leading_term;
         state.standbys = standbys.to_vec();
     }
 
+    /// Returns the greatest term of which a leader has told this host.
+    pub(crate) fn told_term(&self) -> u64 {
+        self.state.lock().term
+    }
+
+    /// Returns the terms that this host knows of.
+    pub(crate) fn term_floor(&self) -> TermFloor {
+        self.state.lock().term_floor
+    }
+
+    /// Records terms that this host learns of other than by a message.
+    pub(crate) fn update_term_floor(&self, update: impl FnOnce(&mut TermFloor)) {
+        update(&mut self.state.lock().term_floor);
+    }
+
+    /// Records the term of the newest epoch in a map of owners.
+    pub(crate) fn record_owners(&self, map: &OwnerMap) {
+        self.update_term_floor(|floor| floor.record_epoch(map.greatest_epoch()));
+    }
+
     /// Returns the hosts that have reported recently.
     pub(crate) fn hosts(&self) -> Vec<PeerHost> {
         let now = self.clock.now();
@@ -345,6 +380,17 @@
         hosts.collect()
     }
 
+    /// Returns the hosts of a failure domain that have reported recently and relay.
+    pub(crate) fn relay_hosts(&self, domain: &DomainName) -> Vec<RelayHost> {
+        let now = self.clock.now();
+        let state = self.state.lock();
+        let live = state
+            .hosts
+            .values()
+            .filter(|host| now - host.last_seen_at < HOST_TTL && host.domain == *domain);
+        live.filter_map(|host| host.relay.clone()).collect()
+    }
+
     /// Applies a message of the leader; returns whether it was current.
     pub(crate) fn apply_reply(
         &self,
@@ -354,6 +400,8 @@
     ) -> bool {
         let now = self.clock.now();
         let mut state = self.state.lock();
+        state.term_floor.record_term(reply.term);
+        state.term_floor.record_term(reply.greatest_term);
         if reply.term < state.term || state.leading_term.is_some_and(|term| term >= reply.term) {
             return false;
         }
@@ -463,6 +511,7 @@
             host.known.owners.clone_from(&announced.owners);
             host.known.entries = host.known.entries.max(announced.entries);
             host.known.sheet = host.known.sheet.max(announced.sheet);
+            host.known.orders = host.known.orders.max(announced.orders);
         }
         for host_address in std::mem::take(&mut state.host_addresses) {
             if targets.iter().any(|(address, _)| *address == host_address) {
@@ -472,6 +521,8 @@
                 owners: Vec::new(),
                 entries: announced.entries,
                 sheet: announced.sheet,
+                // The new leader may know of an order that the last one did not announce.
+                orders: 0,
             };
             targets.push((host_address, known));
         }
@@ -480,7 +531,7 @@
 
     /// Returns the next recent loads. The others follow in later replies, as small hosts
     /// have narrow links.
-    pub(crate) fn next_fleet_loads(&self) -> Vec<WireLoad> {
+    pub(crate) fn next_fleet_loads(&self) -> LoadList {
         let now = self.clock.now();
         let mut state = self.state.lock();
         if now - state.loads_updated_at >= LOADS_REFRESH_INTERVAL {
@@ -494,7 +545,10 @@
         let from = state.loads_offset.min(state.recent_loads.len());
         let (before, after) = state.recent_loads.split_at(from);
         let loads = after.iter().chain(before);
-        loads.take(MAX_REPLY_LOADS).copied().collect()
+        LoadList {
+            loads: loads.take(MAX_REPLY_LOADS).copied().collect(),
+            age: now - state.loads_updated_at,
+        }
     }
 
     /// Returns an upstream's service time relative to that of all upstreams, as all
@@ -508,6 +562,11 @@
         read(&self.state.lock().fleet_loads)
     }
 
+    /// Returns what a holder of keys can do, if its momentary noise is known.
+    pub(crate) fn holder_pace(&self, id: &str) -> Option<HolderPace> {
+        self.state.lock().fleet_loads.holder_pace(id)
+    }
+
     /// Applies a host's report, which came from `address`, with the loads that it
     /// observed.
     pub(crate) fn apply_report(
@@ -518,6 +577,7 @@
     ) {
         let now = self.clock.now();
         let mut state = self.state.lock();
+        state.term_floor.record_term(report.greatest_term);
         for (id, load) in observed_loads {
             state.fleet_loads.record(now, id, *load);
         }
@@ -528,6 +588,10 @@
             address,
             reaches_store: report.reaches_store,
             known: report.known.clone(),
+            relay: report
+                .relay
+                .as_ref()
+                .and_then(|offer| offer.host(&report.host, address)),
         };
         state.hosts.insert(report.host.clone(), host);
         for (service, keys) in &report.loads {
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -15,7 +15,7 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_500);
 /// Maximum idle time of a connection on which a request that must not run twice is
 /// sent.
-const MAX_FRESH_IDLE: Duration = Duration::from_secs(1);
+pub(crate) const MAX_FRESH_IDLE: Duration = Duration::from_secs(1);
 /// Maximum time to establish a connection: a round trip within a region and the
 /// retransmission of one lost packet.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(320);
@@ -102,22 +102,41 @@
         Ok(ReadyConnection::new(stream))
     }
 
-    /// Removes the connection that was used last, of those on which an answer is least
-    /// likely to be in doubt.
-    ///
-    /// A client may not repeat a request that must not run twice if a rejection of it is
-    /// in doubt, so that one goes over a new connection instead.
+    /// Returns a pooled connection that `choice` allows and that shows no sign of having
+    /// been closed; one that is too old only for this choice stays in the pool.
+    pub(crate) fn take_idle(
+        &self,
+        now: Moment,
+        id: &UpstreamId,
+        choice: ConnectionChoice,
+    ) -> Option<ReadyConnection> {
+        if choice == ConnectionChoice::New {
+            return None;
+        }
+        let mut pool = self.idle.lock();
+        let connections = pool.get_mut(id)?;
+        while let Some(index) = preferred_index(connections, choice) {
+            let must_be_fresh = choice == ConnectionChoice::RecentlyUsed;
+            if must_be_fresh && now - connections[index].idle_since > MAX_FRESH_IDLE {
+                return None;
+            }
+            let idle = connections.remove(index);
+            if now < idle.expires_at && is_idle(idle.connection.stream()) {
+                return Some(ReadyConnection {
+                    connection: idle.connection,
+                    is_new: false,
+                    has_unnamed_rejection: idle.has_unnamed_rejection,
+                });
+            }
+        }
+        None
+    }
+
     fn pop(&self, id: &UpstreamId, choice: ConnectionChoice) -> Option<IdleConnection> {
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(id)?;
-        let certain = connections
-            .iter()
-            .rposition(|idle| !idle.has_unnamed_rejection);
-        match certain {
-            Some(index) => Some(connections.remove(index)),
-            None if choice == ConnectionChoice::RecentlyUsed => None,
-            None => connections.pop(),
-        }
+        let index = preferred_index(connections, choice)?;
+        Some(connections.remove(index))
     }
 
     /// Adds a connection whose last answer was read completely, unless there are
@@ -133,9 +152,7 @@
         if ready.connection.has_buffered_bytes() {
             return;
         }
-        let duration = keep_alive
-            .and_then(parse_keep_alive)
-            .unwrap_or(DEFAULT_KEEP_ALIVE);
+        let idle_life = idle_life(keep_alive);
         let mut idle = self.idle.lock();
         let connections = idle.entry(id.clone()).or_default();
         if connections.len() >= max_idle as usize {
@@ -145,7 +162,7 @@
             connection: ready.connection,
             has_unnamed_rejection: ready.has_unnamed_rejection,
             idle_since: now,
-            expires_at: now + duration.saturating_sub(KEEP_ALIVE_MARGIN),
+            expires_at: now + idle_life,
         });
     }
 
@@ -164,6 +181,30 @@
     }
 }
 
+/// Returns how long an idle connection may be used, by the last answer's `Keep-Alive`
+/// header.
+pub(crate) fn idle_life(keep_alive: Option<&str>) -> Duration {
+    let announced = keep_alive.and_then(parse_keep_alive);
+    let duration = announced.unwrap_or(DEFAULT_KEEP_ALIVE);
+    duration.saturating_sub(KEEP_ALIVE_MARGIN)
+}
+
+/// Returns the index of the connection that was used last, of those on which an answer is
+/// least likely to be in doubt.
+///
+/// A client may not repeat a request that must not run twice if a rejection of it is in
+/// doubt, so that one goes over a new connection instead.
+fn preferred_index(connections: &[IdleConnection], choice: ConnectionChoice) -> Option<usize> {
+    let certain = connections
+        .iter()
+        .rposition(|idle| !idle.has_unnamed_rejection);
+    match certain {
+        Some(index) => Some(index),
+        None if choice == ConnectionChoice::RecentlyUsed => None,
+        None => connections.len().checked_sub(1),
+    }
+}
+
 /// Parses the timeout of a `Keep-Alive` header.
 fn parse_keep_alive(text: &str) -> Option<Duration> {
     for part in text.split(',') {
--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -3,13 +3,15 @@
 
 use crate::balance::{OwnerCandidate, assign_orphans, max_moves, merge_adjacent_ranges, rebalance};
 use crate::call_limit::CallLimit;
+use crate::evacuation::{EvacuatedHolders, move_ranges};
 use crate::{GrantTiming, Holder, KeyLoads, OwnedRange, OwnerMap, PreviousTerm};
+use evac::next_moves;
 use indexmap::{IndexMap, IndexSet};
 use kernel::Moment;
 use std::time::Duration;
 
 /// Low bits of an epoch that count within a term; the bits above hold the term.
-const EPOCH_COUNTER_BITS: u32 = 24;
+pub(crate) const EPOCH_COUNTER_BITS: u32 = 24;
 /// Consecutive failed connections after which an upstream is considered silent.
 const SILENT_AFTER_FAILURES: u32 = 2;
 /// Delay before a failed call is retried.
@@ -204,6 +206,19 @@
         self.set_map(now, map);
     }
 
+    /// Issues further epochs in a later term of the same leader, beginning with one for the
+    /// first range.
+    ///
+    /// Hosts that know owners with greater epochs believe this leader's owners from then
+    /// on.
+    pub fn raise_term(&mut self, term: u64) {
+        self.last_epoch = self.last_epoch.max(term << EPOCH_COUNTER_BITS);
+        let first = self.range_states.keys().next().copied();
+        if let Some(key) = first {
+            self.remove_range_state(&key);
+        }
+    }
+
     /// Returns the map of the last committed row.
     pub const fn map(&self) -> &OwnerMap {
         &self.map
@@ -447,11 +462,37 @@
         let known: IndexSet<&Holder> = candidates.iter().map(|known| &known.holder).collect();
         let is_valid = |holder: &Holder| known.contains(holder);
         is_changed |= assign_orphans(&mut planned, candidates, loads, &is_valid, &mut next_epoch);
+        let evacuated = EvacuatedHolders::find(candidates);
+        let pending_ends = evacuated.iter().flat_map(|evacuated| {
+            evacuated
+                .pending_ends(&planned)
+                .into_iter()
+                .map(move |end| (evacuated, end))
+        });
+        let pending_ends: Vec<(&EvacuatedHolders<'_>, Moment)> = pending_ends.collect();
+        for (evacuated, end) in pending_ends {
+            let may_move = |range: &OwnedRange| {
+                evacuated.end_of(range) == Some(end)
+                    && (end <= now || !has_unanswered_grant(&self.holders, range, now))
+            };
+            let count = next_moves(evacuated.progress(now, &planned, end));
+            is_changed |= move_ranges(
+                &mut planned,
+                candidates,
+                loads,
+                count,
+                &may_move,
+                &mut next_epoch,
+            );
+        }
+        let is_evacuating =
+            evacuated.is_some_and(|evacuated| !evacuated.pending_ends(&planned).is_empty());
         // Keys of a silent upstream may wait for seconds, so others may move meanwhile,
         // up to half of the limit.
         let moving_ranges = planned.ranges.iter().filter(|range| !range.is_granted);
         let has_room = moving_ranges.count() <= max_moves(candidates.len()) / 2;
-        if has_room && now >= self.rebalanced_at + self.timing.rebalance_interval {
+        if has_room && !is_evacuating && now >= self.rebalanced_at + self.timing.rebalance_interval
+        {
             let is_moved = rebalance(&mut planned, candidates, loads, &mut next_epoch);
             if is_moved {
                 self.rebalanced_at = now;
@@ -471,6 +512,13 @@
         Some(planned)
     }
 
+    /// Returns how many ranges of candidates that must give up their keys are not moved
+    /// yet, and how many are being moved; `None` if there are no such candidates.
+    pub fn evacuation_counts(&self, candidates: &[OwnerCandidate]) -> Option<(usize, usize)> {
+        let evacuated = EvacuatedHolders::find(candidates)?;
+        Some(evacuated.counts(&self.map))
+    }
+
     /// Removes previous grants of the owners that cannot be in force any more.
     fn clear_lapsed_holders(&self, now: Moment, planned: &mut OwnerMap) {
         let max_validity = self.timing.call_timeout
@@ -661,3 +709,14 @@
         call
     }
 }
+
+/// Returns whether a grant of the range's owner was not answered and may still take
+/// effect. A release would not help against it: the keys would be unserved until then.
+fn has_unanswered_grant(
+    holders: &IndexMap<Holder, HolderState>,
+    range: &OwnedRange,
+    now: Moment,
+) -> bool {
+    let state = range.owner.as_ref().and_then(|owner| holders.get(owner));
+    state.is_some_and(|state| state.unanswered_until > now)
+}
--- a/crates/kernel/src/verdict.rs
+++ b/crates/kernel/src/verdict.rs
@@ -109,6 +109,8 @@
     NoOwner => "no-owner", 503, NotRun, true;
     /// The shard's failure domain is unreachable.
     DomainUnreachable => "domain-unreachable", 503, NotRun, false;
+    /// The request can only run in a failure domain that the operators have evacuated.
+    DomainEvacuated => "domain-evacuated", 503, NotRun, false;
     /// No connection to the primary host could be made, so nothing was sent.
     PrimaryUnreachable => "primary-unreachable", 503, NotRun, true;
     /// The host that received the request is not the upstream's primary.
@@ -139,6 +141,8 @@
     OutcomeUnknown => "outcome-unknown", 504, MayHaveRun, false;
     /// The connection to the primary failed after the request was sent.
     PrimaryLost => "primary-lost", 502, MayHaveRun, true;
+    /// The connection to the relay failed after the request was sent.
+    RelayLost => "relay-lost", 502, MayHaveRun, true;
     /// The connection to the upstream failed after the request was sent.
     UpstreamLost => "upstream-lost", 502, MayHaveRun, true;
     /// The upstream did not answer in time.
