--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -68,27 +68,17 @@
     /// Fails when two metrics have the same name.
     pub(crate) fn register() -> prometheus::Result<Self> {
         let registry = Registry::new();
-        let requests = IntCounterVec::new(
-            Opts::new("trestle_requests_total", "Requests answered"),
-            &["verdict", "cause"],
-        )?;
+        let vector =
+            |name: &str, help: &str, labels: &[&str]| -> prometheus::Result<IntCounterVec> {
+                let vector = IntCounterVec::new(Opts::new(name, help), labels)?;
+                registry.register(Box::new(vector.clone()))?;
+                Ok(vector)
+            };
         let latency = HistogramVec::new(
             HistogramOpts::new("trestle_latency_seconds", "Time until the answer")
                 .buckets(LATENCY_BUCKETS.to_vec()),
             &["rank"],
         )?;
-        let store_calls = IntCounterVec::new(
-            Opts::new("trestle_store_calls_total", "Calls to the platform's store"),
-            &["call", "table"],
-        )?;
-        let evacuation_refusals = IntCounterVec::new(
-            Opts::new(
-                "trestle_evacuation_refusals_total",
-                "Requests refused for evacuated domains",
-            ),
-            &["rank"],
-        )?;
-        registry.register(Box::new(evacuation_refusals.clone()))?;
         let fleet_load_age = Histogram::with_opts(
             HistogramOpts::new(
                 "trestle_fleet_load_age_seconds",
@@ -96,43 +86,8 @@
             )
             .buckets(LATENCY_BUCKETS.to_vec()),
         )?;
-        registry.register(Box::new(fleet_load_age.clone()))?;
-        let cold_tokens = IntCounterVec::new(
-            Opts::new("trestle_cold_tokens_total", "Tokens for cold upstreams"),
-            &["event"],
-        )?;
-        let cold_requests = IntCounterVec::new(
-            Opts::new(
-                "trestle_cold_requests_total",
-                "Requests that needed a token",
-            ),
-            &["event"],
-        )?;
-        let cold_found = IntCounterVec::new(
-            Opts::new("trestle_cold_found_total", "Upstreams found cold"),
-            &["source"],
-        )?;
-        registry.register(Box::new(cold_tokens.clone()))?;
-        registry.register(Box::new(cold_requests.clone()))?;
-        registry.register(Box::new(cold_found.clone()))?;
-        let sends = IntCounterVec::new(
-            Opts::new("trestle_sends_total", "Sends to upstreams"),
-            &["way"],
-        )?;
-        let relay_failures = IntCounterVec::new(
-            Opts::new("trestle_relay_failures_total", "Unanswered by a relay"),
-            &["reason"],
-        )?;
-        let relayed_for_others = IntCounterVec::new(
-            Opts::new("trestle_relayed_for_others_total", "Relayed requests"),
-            &["verdict"],
-        )?;
-        for vector in [&sends, &relay_failures, &relayed_for_others] {
-            registry.register(Box::new(vector.clone()))?;
-        }
-        registry.register(Box::new(store_calls.clone()))?;
-        registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
+        registry.register(Box::new(fleet_load_age.clone()))?;
         let counter = |name: &str, help: &str| -> prometheus::Result<IntCounter> {
             let counter = IntCounter::new(name, help)?;
             registry.register(Box::new(counter.clone()))?;
@@ -144,15 +99,27 @@
             Ok(gauge)
         };
         Ok(Self {
-            requests,
+            requests: vector(
+                "trestle_requests_total",
+                "Requests answered",
+                &["verdict", "cause"],
+            )?,
             latency,
             retries: counter("trestle_retries_total", "Sends after a request's first")?,
-            store_calls,
+            store_calls: vector(
+                "trestle_store_calls_total",
+                "Calls to the platform's store",
+                &["call", "table"],
+            )?,
             store_failures: counter("trestle_store_failures_total", "Failed store calls")?,
             is_leader: gauge("trestle_is_leader", "1 while this host grants keys")?,
             sheet_version: gauge("trestle_sheet_version", "Version of the sheet in force")?,
             evacuated_domains: gauge("trestle_evacuated_domains", "Domains under evacuation")?,
-            evacuation_refusals,
+            evacuation_refusals: vector(
+                "trestle_evacuation_refusals_total",
+                "Requests refused for evacuated domains",
+                &["rank"],
+            )?,
             evacuation_ranges: gauge(
                 "trestle_evacuation_ranges",
                 "Ranges in evacuated domains still to be moved by this leader",
@@ -163,21 +130,41 @@
             )?,
             relieved_holders: gauge("trestle_relieved_holders", "Holders with a long queue")?,
             fleet_load_age,
-            cold_tokens,
-            cold_requests,
-            cold_found,
+            cold_tokens: vector(
+                "trestle_cold_tokens_total",
+                "Tokens for cold upstreams",
+                &["event"],
+            )?,
+            cold_requests: vector(
+                "trestle_cold_requests_total",
+                "Requests that needed a token",
+                &["event"],
+            )?,
+            cold_found: vector(
+                "trestle_cold_found_total",
+                "Upstreams found cold",
+                &["source"],
+            )?,
             cold_upstreams: gauge("trestle_cold_upstreams", "Cold upstreams with a limit")?,
             term_raises: counter(
                 "trestle_term_raises_total",
                 "Terms taken because a greater one was known",
             )?,
-            sends,
+            sends: vector("trestle_sends_total", "Sends to upstreams", &["way"])?,
             connections_opened: counter(
                 "trestle_connections_opened_total",
                 "Connections opened to upstreams",
             )?,
-            relay_failures,
-            relayed_for_others,
+            relay_failures: vector(
+                "trestle_relay_failures_total",
+                "Unanswered by a relay",
+                &["reason"],
+            )?,
+            relayed_for_others: vector(
+                "trestle_relayed_for_others_total",
+                "Relayed requests",
+                &["verdict"],
+            )?,
             registry,
         })
     }
