--- a/crates/ebonytrestle/src/front_host.rs
+++ b/crates/ebonytrestle/src/front_host.rs
@@ -3,7 +3,7 @@
 use crate::signals::SignalReceiver;
 use async_std::future::timeout;
 use eyre::{Result, WrapErr, eyre};
-use front::{FrontHost, LineLog, LoadedPlatform, PlatformPlugin, RelayMode};
+use front::{FrontHost, FrontOptions, LineLog, LoadedPlatform, PlatformPlugin};
 use kernel::find_plugin;
 use log::{LevelFilter, info, warn};
 use simplelog::{ConfigBuilder, WriteLogger};
@@ -19,7 +19,7 @@
     name: &str,
     settings: Option<PathBuf>,
     check_only: bool,
-    relay: RelayMode,
+    options: FrontOptions,
 ) -> Result<()> {
     platform::register();
     let plugin = find_plugin::<PlatformPlugin>(name)?;
@@ -34,22 +34,19 @@
                 )
             })?,
     };
-    let loaded = load_settings(plugin, &path, relay)?;
+    let loaded = load_settings(plugin, &path)?;
     if check_only {
         println!("{:#?}", loaded.settings);
         return Ok(());
     }
     start_log()?;
-    async_std::task::block_on(serve(plugin, &path, loaded))
+    async_std::task::block_on(serve(plugin, &path, loaded, options))
 }
 
-fn load_settings(plugin: &PlatformPlugin, path: &Path, relay: RelayMode) -> Result<LoadedPlatform> {
+fn load_settings(plugin: &PlatformPlugin, path: &Path) -> Result<LoadedPlatform> {
     let text = std::fs::read_to_string(path)
         .wrap_err_with(|| format!("cannot read {}", path.display()))?;
-    let loaded = (plugin.load)(&text);
-    let mut loaded = loaded.map_err(|error| eyre!("{}: {error}", path.display()))?;
-    loaded.settings.relay = relay;
-    Ok(loaded)
+    (plugin.load)(&text).map_err(|error| eyre!("{}: {error}", path.display()))
 }
 
 fn start_log() -> Result<()> {
@@ -62,11 +59,16 @@
 }
 
 /// Runs the host and reloads its settings on a signal or when the file has changed.
-async fn serve(plugin: &PlatformPlugin, path: &Path, loaded: LoadedPlatform) -> Result<()> {
+async fn serve(
+    plugin: &PlatformPlugin,
+    path: &Path,
+    loaded: LoadedPlatform,
+    options: FrontOptions,
+) -> Result<()> {
     let signals = SignalReceiver::listen()?;
     let mut settings = loaded.settings.clone();
     let mut loaded_text = std::fs::read_to_string(path).unwrap_or_default();
-    let host = FrontHost::start(loaded).await?;
+    let host = FrontHost::start_with(loaded, options).await?;
     loop {
         let is_requested = match timeout(SETTINGS_POLL_INTERVAL, signals.next()).await {
             Ok(signal) if signal.is_reload() => true,
@@ -78,7 +80,7 @@
             continue;
         }
         loaded_text = text;
-        match load_settings(plugin, path, settings.relay) {
+        match load_settings(plugin, path) {
             Ok(reloaded) if reloaded.settings != settings => {
                 settings = reloaded.settings;
                 let at_next_start = host.reload(&settings);
--- a/crates/ebonytrestle/src/options.rs
+++ b/crates/ebonytrestle/src/options.rs
@@ -1,6 +1,6 @@
 //! Command line parsing.
 
-use front::RelayMode;
+use front::{FrontOptions, RelayMode};
 use getopts::Options;
 use std::fmt;
 use std::path::PathBuf;
@@ -8,13 +8,16 @@
 /// Help text.
 pub(crate) const USAGE: &str = "\
 usage: ebonytrestle --settings FILE [--check]
-       ebonytrestle --platform NAME [--settings FILE] [--relay MODE] [--check]
+       ebonytrestle --platform NAME [--settings FILE] [--relay MODE] [--rank-shares]
+                    [--check]
 
     -s, --settings FILE  settings in JSON
     -p, --platform NAME  run on a platform, with settings in the platform's format;
                          without --settings, the platform's variable has the path
         --relay MODE     with --platform: relay requests between the hosts of a failure
                          domain: off (the default), on, or auto
+        --rank-shares    on a platform, admit requests by shares of ranks when a service
+                         is short; to be set on all hosts
         --check          print the checked settings and exit
     -h, --help           print this help
     -V, --version        print the version
@@ -37,8 +40,8 @@
         settings: Option<PathBuf>,
         /// Whether to print the checked settings instead of running the host.
         check_only: bool,
-        /// Whether the host relays requests.
-        relay: RelayMode,
+        /// Options of the host that are no settings of the platform.
+        options: FrontOptions,
     },
     /// Print the help text.
     Help,
@@ -64,6 +67,7 @@
         .optopt("p", "platform", "", "NAME")
         .optopt("", "relay", "", "MODE")
         .optflag("", "check", "")
+        .optflag("", "rank-shares", "")
         .optflag("h", "help", "")
         .optflag("V", "version", "");
     let matches = options
@@ -86,12 +90,18 @@
             platform,
             settings: matches.opt_str("settings").map(PathBuf::from),
             check_only: matches.opt_present("check"),
-            relay: relay.unwrap_or_default(),
+            options: FrontOptions {
+                rank_shares: matches.opt_present("rank-shares"),
+                relay: relay.unwrap_or_default(),
+            },
         });
     }
     if relay.is_some() {
         return Err(UsageError("--relay needs --platform".to_owned()));
     }
+    if matches.opt_present("rank-shares") {
+        return Err(UsageError("--rank-shares requires --platform".to_owned()));
+    }
     let Some(path) = matches.opt_str("settings") else {
         return Err(UsageError("--settings is required".to_owned()));
     };
--- a/crates/front/src/cold_budget.rs
+++ b/crates/front/src/cold_budget.rs
@@ -464,6 +464,8 @@
     is_cold_at_relay: bool,
     /// Whether the upstream refused a connection.
     was_refused: bool,
+    /// The token that was used up by the write.
+    used_token: Option<HeldToken>,
 }
 
 impl<'a> SendPermit<'a> {
@@ -481,6 +483,7 @@
             is_for_other_host: false,
             is_cold_at_relay: false,
             was_refused: false,
+            used_token: None,
         }
     }
 
@@ -495,6 +498,7 @@
             is_for_other_host: true,
             is_cold_at_relay: false,
             was_refused: false,
+            used_token: None,
         }
     }
 
@@ -559,7 +563,12 @@
         let view = control.view.load();
         let now = control.clock.now();
         let Some(known) = view.upstreams.get(&self.entry.id) else {
-            return self.token.take().is_none_or(|token| token.is_valid(now));
+            let Some(token) = self.token.take() else {
+                return true;
+            };
+            let is_valid = token.is_valid(now);
+            self.used_token = Some(token);
+            return is_valid;
         };
         let is_known_cold = control.cold_limit(now, known).is_some();
         let is_cold_at_relay = self.is_cold_at_relay && control.is_limited(&known.entry.service);
@@ -574,14 +583,15 @@
             .token
             .take()
             .filter(|token| token.run() == run && token.is_valid(now));
-        let Some(_used) = held.or_else(|| control.reserve(now, run, self.rank)) else {
+        self.used_token = held.or_else(|| control.reserve(now, run, self.rank));
+        if self.used_token.is_none() {
             control
                 .metrics
                 .cold_requests
                 .with_label_values(&["withheld"])
                 .inc();
             return false;
-        };
+        }
         control
             .metrics
             .cold_requests
@@ -590,6 +600,12 @@
         true
     }
 
+    /// Takes back the token that [`Self::use_for_write`] used up, as no byte of the request
+    /// was handed to the connection.
+    pub(crate) fn return_token(&mut self) {
+        self.token = self.used_token.take();
+    }
+
     /// Records that the upstream answered, and how much longer it says that it stays cold,
     /// if it does.
     pub(crate) fn record_head(&self, remaining_ms: Option<u64>) {
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -10,6 +10,7 @@
 use crate::exchange::Exchanger;
 use crate::metrics::FrontMetrics;
 use crate::rank_loads::RankLoads;
+use crate::rank_shares::RankShares;
 use crate::relay_client::{AttemptFacts, RelayClient};
 use crate::request::{ClientRequest, ResolvedRequest};
 use crate::view::{FrontView, SharedView};
@@ -72,6 +73,8 @@
     pub cold: Arc<ColdControl>,
     /// `None` if this host uses no relays.
     pub relay: Option<RelayClient>,
+    /// Admission by shares of ranks, if it is enabled.
+    pub rank_shares: Option<RankShares>,
 }
 
 impl DispatchState {
@@ -217,9 +220,14 @@
         let mut history = AttemptHistory::default();
         self.record_key_load(request);
         self.state.record_rank_load(request);
-        let outcome = self
-            .send_with_retries(request, &mut history, is_client_gone)
-            .await;
+        let slot_ms = self.expected_slot_ms(request);
+        let outcome = match self.refuse_by_rank(request, slot_ms) {
+            Some(refusal) => Err(refusal),
+            None => {
+                self.send_with_retries(request, &mut history, is_client_gone)
+                    .await
+            }
+        };
         // A refusal would say that the request has not run, although an upstream ran it.
         let outcome = match (outcome, history.failed_answer.take()) {
             (Err(_), Some(failed_answer)) => Ok(failed_answer),
@@ -232,10 +240,27 @@
             (Ok(answer), Some(cause)) if answer.says_not_run() => Err(cause.into()),
             (outcome, _) => outcome,
         };
+        if let Some(rank_shares) = &self.state.rank_shares {
+            let verdict = outcome.as_ref().err().map(|refusal| refusal.verdict());
+            rank_shares.record_outcome(request, slot_ms, verdict == Some(Verdict::NotRun));
+        }
         self.log_outcome(request, &history, &outcome);
         outcome
     }
 
+    /// Returns the expected time in a slot, where shares of ranks need it.
+    fn expected_slot_ms(&self, request: &ResolvedRequest) -> Option<f64> {
+        let state = &self.state;
+        state.rank_shares.as_ref()?;
+        let selector = state.selector.lock();
+        selector.expected_slot_ms(state.clock.now(), request.work())
+    }
+
+    fn refuse_by_rank(&self, request: &ResolvedRequest, slot_ms: Option<f64>) -> Option<Refusal> {
+        let rank_shares = self.state.rank_shares.as_ref()?;
+        rank_shares.refuse(self.state.clock.now(), request, slot_ms)
+    }
+
     fn record_key_load(&self, request: &ResolvedRequest) {
         let Some(key) = request.key else {
             return;
@@ -376,7 +401,7 @@
         let max_requests = state.max_requests(&entry.service);
         let outgoing = request.outgoing();
         let exchanger = &state.exchanger;
-        let exchanged = match &state.relay {
+        let ended = match &state.relay {
             Some(relay) => {
                 relay
                     .exchange(
@@ -401,10 +426,10 @@
                     .await
             }
         };
-        guard.outcome = exchanged.outcome;
-        guard.report = exchanged.report;
+        guard.outcome = ended.outcome;
+        guard.report = ended.report;
         drop(guard);
-        exchanged.result
+        ended.result
     }
 
     /// Connects to an upstream to check that it can be reached again, and pools the
@@ -421,7 +446,7 @@
         state.cold.record_reached(&entry);
         info!(target: "upstream", "upstream={} state=reachable", entry.id);
         let now = state.clock.now();
-        let connection = h1::Connection::new(stream);
+        let connection = crate::pool::ReadyConnection::new(stream);
         let max_idle = state.max_requests(&entry.service);
         let pool = &state.exchanger.pool;
         pool.put(now, &entry.id, connection, None, max_idle);
@@ -619,7 +644,11 @@
     ) -> DispatchTarget {
         let limits = Self::selection_limits(now, request);
         let mut selector = self.state.selector.lock();
-        let selection = selector.choose(now, request.work(), candidates, &limits);
+        let own_share = |share| match &self.state.rank_shares {
+            Some(rank_shares) => rank_shares.upstream_share(now, request, share),
+            None => share,
+        };
+        let selection = selector.choose_ranked(now, request.work(), candidates, &limits, own_share);
         drop(selector);
         match selection {
             Selection::Send { id, expected } => match view.upstreams.get(&id) {
--- a/crates/front/src/exchange.rs
+++ b/crates/front/src/exchange.rs
@@ -7,6 +7,7 @@
 use crate::metrics::FrontMetrics;
 use crate::pool::{ConnectionChoice, ConnectionPool, ReadyConnection};
 use crate::request::OutgoingRequest;
+use crate::sending::{SendProgress, is_closed, send_and_read, write_request};
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use fleet::UpstreamEntry;
@@ -143,17 +144,20 @@
         permit: &mut SendPermit<'_>,
     ) -> Result<UpstreamAnswer, ExchangeFailure> {
         let now = self.clock.now();
-        let ReadyConnection {
-            mut connection,
-            is_new,
-        } = ready;
-        if is_new {
+        if ready.is_new {
             permit.record_connection(Ok(()));
         }
-        self.record_way(request, is_new);
+        self.record_way(request, ready.is_new);
+        if is_closed(ready.connection.stream()) {
+            self.pool.clear(&entry.id);
+            return Err(ExchangeFailure::new(
+                Cause::UpstreamUnreachable,
+                connection_loss_outcome(ready.is_new),
+            ));
+        }
         let remaining = request.deadline - now;
         if remaining < MIN_REMAINING_TIME {
-            self.pool.put(now, &entry.id, connection, None, max_idle);
+            self.pool.put(now, &entry.id, ready, None, max_idle);
             return Err(ExchangeFailure::new(
                 Cause::DeadlineUnreachable,
                 RequestOutcome::Abandoned,
@@ -162,20 +166,24 @@
         let mut bytes = request.encode_head(&self.names, entry.id.as_str(), remaining);
         let blocks = request.body.blocks_behind(&mut bytes);
         if !permit.use_for_write() {
-            self.pool.put(now, &entry.id, connection, None, max_idle);
+            self.pool.put(now, &entry.id, ready, None, max_idle);
             return Err(ExchangeFailure::new(
                 Cause::UpstreamRefused,
                 RequestOutcome::Withheld,
             ));
         }
-        let exchange = async {
-            connection.write(&bytes).await?;
-            for block in blocks {
-                connection.write(block).await?;
-            }
-            self.read_matching_head(&mut connection, request, is_new)
-                .await
-        };
+        let ReadyConnection {
+            mut connection,
+            is_new,
+            has_unnamed_rejection,
+        } = ready;
+        let progress = SendProgress::default();
+        let stream = connection.stream().clone();
+        let exchange = send_and_read(
+            write_request(stream, &bytes, blocks, &progress),
+            self.read_matching_head(&mut connection, request, has_unnamed_rejection),
+            |head| self.is_not_run(head.status, &head.headers),
+        );
         let head = match timeout(remaining, exchange).await {
             Ok(Ok(Some(head))) => head,
             Ok(Ok(None) | Err(h1::Error::Malformed(_) | h1::Error::HeadTooLarge)) => {
@@ -186,22 +194,34 @@
             }
             Ok(Err(_)) => {
                 self.pool.clear(&entry.id);
-                let outcome = if is_new {
-                    RequestOutcome::Reset
+                let cause = if progress.is_begun() {
+                    Cause::UpstreamLost
                 } else {
-                    RequestOutcome::Lost
+                    permit.return_token();
+                    Cause::UpstreamUnreachable
                 };
-                return Err(ExchangeFailure::new(Cause::UpstreamLost, outcome));
+                let outcome = connection_loss_outcome(is_new);
+                return Err(ExchangeFailure::new(cause, outcome));
             }
             Err(_elapsed) => {
-                return Err(ExchangeFailure::new(
-                    Cause::UpstreamTimeout,
-                    RequestOutcome::Abandoned,
-                ));
+                let cause = if progress.is_begun() {
+                    Cause::UpstreamTimeout
+                } else {
+                    permit.return_token();
+                    Cause::DeadlineUnreachable
+                };
+                return Err(ExchangeFailure::new(cause, RequestOutcome::Abandoned));
             }
         };
         permit.record_head(head.headers.get_number(self.names.cold));
-        self.read_answer(entry, request, connection, head, max_idle)
+        let is_unnamed = head.headers.get(self.names.request_id).is_none();
+        let ready = ReadyConnection {
+            connection,
+            is_new: false,
+            has_unnamed_rejection: has_unnamed_rejection || is_unnamed,
+        };
+        let is_sent = progress.is_complete();
+        self.read_answer(entry, request, ready, head, is_sent, max_idle)
             .await
     }
 
@@ -217,20 +237,23 @@
 
     /// Reads the head of the answer to this request; returns `None` if there are only
     /// answers to other requests.
+    ///
+    /// Some upstreams reject requests without naming them. `has_unnamed_rejection` says
+    /// that this connection has carried such a rejection, of which a further one may be a
+    /// late copy. Every other answer names its request, so that the first rejection
+    /// without a name is for this request.
     async fn read_matching_head(
         &self,
         connection: &mut Connection<TcpStream>,
         request: &OutgoingRequest<'_>,
-        is_new: bool,
+        has_unnamed_rejection: bool,
     ) -> h1::Result<Option<ResponseHead>> {
         let limits = HeadLimits::default();
         for _stray in 0..MAX_STRAY_ANSWERS {
             let head = connection.read_response(&limits, request.method).await?;
             match head.headers.get(self.names.request_id) {
                 Some(id) if id == request.id.as_str() => return Ok(Some(head)),
-                // On a connection that was in use before, it may be a late copy of the
-                // answer to an earlier request.
-                None if is_new && self.is_not_run(head.status, &head.headers) => {
+                None if !has_unnamed_rejection && self.is_not_run(head.status, &head.headers) => {
                     return Ok(Some(head));
                 }
                 None => return Ok(None),
@@ -271,13 +294,14 @@
         &self,
         entry: &UpstreamEntry,
         request: &OutgoingRequest<'_>,
-        mut connection: Connection<TcpStream>,
+        mut ready: ReadyConnection,
         head: ResponseHead,
+        is_sent: bool,
         max_idle: u32,
     ) -> Result<UpstreamAnswer, ExchangeFailure> {
         let remaining = request.deadline - self.clock.now();
-        let reading = self.read_body(&mut connection, &head);
-        let mut is_reusable = head.keeps_alive;
+        let reading = self.read_body(&mut ready.connection, &head);
+        let mut is_reusable = head.keeps_alive && is_sent;
         let body = match timeout(remaining, reading).await {
             Ok(Ok(body)) => body,
             _ if self.is_not_run(head.status, &head.headers) => {
@@ -299,13 +323,8 @@
         };
         if is_reusable {
             let keep_alive = head.headers.get("keep-alive");
-            self.pool.put(
-                self.clock.now(),
-                &entry.id,
-                connection,
-                keep_alive,
-                max_idle,
-            );
+            self.pool
+                .put(self.clock.now(), &entry.id, ready, keep_alive, max_idle);
         }
         let is_bodiless = request.method == "HEAD" || matches!(head.status, 204 | 304);
         Ok(UpstreamAnswer {
@@ -354,6 +373,15 @@
     }
 }
 
+/// Returns how a request ended whose connection was lost.
+const fn connection_loss_outcome(is_new: bool) -> RequestOutcome {
+    if is_new {
+        RequestOutcome::Reset
+    } else {
+        RequestOutcome::Lost
+    }
+}
+
 /// Returns which connections serve for a request.
 pub(crate) const fn connection_choice(is_repeat: bool, is_idempotent: bool) -> ConnectionChoice {
     if is_repeat {
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -18,6 +18,7 @@
 use crate::peers::PeerRegistry;
 use crate::pool::ConnectionPool;
 use crate::random::RandomSource;
+use crate::rank_shares::RankShares;
 use crate::relay_client::RelayClient;
 use crate::relay_server::{RelayServer, max_in_flight};
 use crate::replica::{FollowedTable, StoreReplica};
@@ -99,6 +100,15 @@
 
 impl std::error::Error for StartFailure {}
 
+/// Options of a host that are no settings of the platform.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FrontOptions {
+    /// Whether requests are admitted by shares of ranks when a service is short.
+    pub rank_shares: bool,
+    /// Whether the host relays requests, at the port next to the internal one.
+    pub relay: RelayMode,
+}
+
 /// A running front host.
 #[derive(Clone, Debug)]
 pub struct FrontHost {
@@ -229,9 +239,16 @@
         u64::from(self.settings.memory_mb) << 20
     }
 
-    fn build_dispatcher(&self) -> Dispatcher {
+    fn build_dispatcher(&self, options: FrontOptions) -> Result<Dispatcher, StartFailure> {
         let memory_bytes = self.memory_bytes();
-        Dispatcher {
+        let rank_shares = if options.rank_shares {
+            let (now, seed) = (self.clock.now(), self.random.next_u64());
+            let rank_shares = RankShares::new(now, seed, &self.metrics);
+            Some(rank_shares.map_err(StartFailure::Metrics)?)
+        } else {
+            None
+        };
+        Ok(Dispatcher {
             state: Arc::new(DispatchState {
                 view: Arc::clone(&self.view),
                 selector: Mutex::new(UpstreamSelector::new(self.random.next_u64())),
@@ -253,18 +270,19 @@
                 metrics: self.metrics.clone(),
                 rank_loads: Mutex::default(),
                 cold: Arc::clone(&self.cold),
-                relay: self.build_relay_client(),
+                relay: self.build_relay_client(options.relay),
+                rank_shares,
             }),
-        }
+        })
     }
 
-    fn build_relay_client(&self) -> Option<RelayClient> {
+    fn build_relay_client(&self, mode: RelayMode) -> Option<RelayClient> {
         let settings = &self.settings;
-        if settings.relay == RelayMode::Off {
+        if mode == RelayMode::Off {
             return None;
         }
         Some(RelayClient {
-            mode: settings.relay,
+            mode,
             host: settings.name.clone(),
             port: relay_address(settings).port(),
             program: program_version(env!("CARGO_PKG_VERSION")),
@@ -383,10 +401,22 @@
     ///
     /// Fails when an address can't be bound or a metric can't be registered.
     pub async fn start(loaded: LoadedPlatform) -> Result<Self, StartFailure> {
+        Self::start_with(loaded, FrontOptions::default()).await
+    }
+
+    /// Starts a host with options, which serves until it is stopped.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound or a metric can't be registered.
+    pub async fn start_with(
+        loaded: LoadedPlatform,
+        options: FrontOptions,
+    ) -> Result<Self, StartFailure> {
         let sockets = BoundSockets::bind(&loaded.settings).await?;
         let context = HostContext::new(loaded)?;
         let replica = context.build_replica();
-        let dispatcher = context.build_dispatcher();
+        let dispatcher = context.build_dispatcher(options)?;
         let request_memory = BodyMemory::new(context.memory_bytes() / REQUEST_FRACTION);
         let relay = context.spawn_relay(&dispatcher, &request_memory).await?;
         let clients = ClientServer::new(dispatcher.clone(), request_memory);
@@ -465,7 +495,6 @@
             ("processor", updated.millicores != current.millicores),
             ("memory", updated.memory_mb != current.memory_mb),
             ("link", updated.link_mbps != current.link_mbps),
-            ("relay", updated.relay != current.relay),
         ];
         let after_restart = changes.into_iter().filter(|(_, is_changed)| *is_changed);
         after_restart.map(|(name, _)| name).collect()
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -44,6 +44,7 @@
 mod pool;
 mod random;
 mod rank_loads;
+mod rank_shares;
 mod relay_client;
 mod relay_list;
 mod relay_server;
@@ -51,14 +52,16 @@
 mod reports;
 mod request;
 mod send_budget;
+mod sending;
 mod view;
 mod wire_cold;
 mod wire_load;
+mod wire_share;
 
 pub use adapter::{
     DecodeError, FrontBounds, FrontSettings, HeaderNames, LoadedPlatform, PlatformPlugin,
     StoreTables, UpstreamCall, UserPlatform,
 };
-pub use host::{FrontHost, StartFailure};
+pub use host::{FrontHost, FrontOptions, StartFailure};
 pub use logs::LineLog;
 pub use relay::RelayMode;
--- a/crates/front/src/message.rs
+++ b/crates/front/src/message.rs
@@ -8,6 +8,7 @@
 use crate::replica::WireOrders;
 use crate::wire_cold::{WireCold, WireTokens, WireWant};
 use crate::wire_load::{WireLoad, WireObservation};
+use crate::wire_share::{WireDemand, WireServiceShares};
 use fleet::{EntryChange, ReportedState, UpstreamEntry};
 use grant::{PreviousTerm, WireOwners};
 use kernel::{DomainName, ServiceName, UpstreamId};
@@ -114,6 +115,8 @@
     pub greatest_term: u64,
     /// The host's offer to relay requests; `None` if it uses no relays.
     pub relay: Option<WireRelayOffer>,
+    /// Work that was offered since the last report; empty without shares of ranks.
+    pub demand: WireDemand,
 }
 
 /// The versions of the store's rows that a host knows.
@@ -294,6 +297,8 @@
     pub greatest_term: u64,
     /// The hosts of the receiver's domain that relay, if it does not know them.
     pub relay_hosts: Option<WireHostList>,
+    /// Shares of ranks, by service; empty without them.
+    pub rank_shares: Vec<WireServiceShares>,
 }
 
 impl LeaderReply {
@@ -310,6 +315,7 @@
             tokens: Vec::new(),
             cold: Vec::new(),
             relay_hosts: None,
+            rank_shares: Vec::new(),
             standbys: self.standbys.clone(),
             successor: self.successor.clone(),
             entries_base,
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -557,6 +557,11 @@
         self.state.lock().fleet_loads.slowness(id)
     }
 
+    /// Passes the loads of upstreams that all hosts observed to `read`.
+    pub(crate) fn read_fleet_loads<T>(&self, read: impl FnOnce(&FleetLoads) -> T) -> T {
+        read(&self.state.lock().fleet_loads)
+    }
+
     /// Returns what a holder of keys can do, if its momentary noise is known.
     pub(crate) fn holder_pace(&self, id: &str) -> Option<HolderPace> {
         self.state.lock().fleet_loads.holder_pace(id)
--- a/crates/front/src/pool.rs
+++ b/crates/front/src/pool.rs
@@ -36,6 +36,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection<TcpStream>,
+    has_unnamed_rejection: bool,
     idle_since: Moment,
     expires_at: Moment,
 }
@@ -46,6 +47,20 @@
     pub connection: Connection<TcpStream>,
     /// Whether it has just been opened.
     pub is_new: bool,
+    /// Whether it has carried a rejection that does not name its request. A further one
+    /// may be a late copy of it, and is no proof.
+    pub has_unnamed_rejection: bool,
+}
+
+impl ReadyConnection {
+    /// Returns a connection that has just been opened.
+    pub(crate) const fn new(stream: TcpStream) -> Self {
+        Self {
+            connection: Connection::new(stream),
+            is_new: true,
+            has_unnamed_rejection: false,
+        }
+    }
 }
 
 /// A pool of idle connections to upstreams.
@@ -70,7 +85,7 @@
         timeout: Duration,
     ) -> Result<ReadyConnection, DialError> {
         while choice != ConnectionChoice::New
-            && let Some(idle) = self.pop(id)
+            && let Some(idle) = self.pop(id, choice)
         {
             let must_be_fresh = choice == ConnectionChoice::RecentlyUsed;
             let is_stale =
@@ -79,14 +94,12 @@
                 return Ok(ReadyConnection {
                     connection: idle.connection,
                     is_new: false,
+                    has_unnamed_rejection: idle.has_unnamed_rejection,
                 });
             }
         }
         let stream = dial(address, timeout.min(CONNECT_TIMEOUT)).await?;
-        Ok(ReadyConnection {
-            connection: Connection::new(stream),
-            is_new: true,
-        })
+        Ok(ReadyConnection::new(stream))
     }
 
     /// Returns a pooled connection that `choice` allows and that shows no sign of having
@@ -102,24 +115,28 @@
         }
         let mut pool = self.idle.lock();
         let connections = pool.get_mut(id)?;
-        while let Some(last) = connections.last() {
+        while let Some(index) = preferred_index(connections, choice) {
             let must_be_fresh = choice == ConnectionChoice::RecentlyUsed;
-            if must_be_fresh && now - last.idle_since > MAX_FRESH_IDLE {
+            if must_be_fresh && now - connections[index].idle_since > MAX_FRESH_IDLE {
                 return None;
             }
-            let idle = connections.pop()?;
+            let idle = connections.remove(index);
             if now < idle.expires_at && is_idle(idle.connection.stream()) {
                 return Some(ReadyConnection {
                     connection: idle.connection,
                     is_new: false,
+                    has_unnamed_rejection: idle.has_unnamed_rejection,
                 });
             }
         }
         None
     }
 
-    fn pop(&self, id: &UpstreamId) -> Option<IdleConnection> {
-        self.idle.lock().get_mut(id)?.pop()
+    fn pop(&self, id: &UpstreamId, choice: ConnectionChoice) -> Option<IdleConnection> {
+        let mut idle = self.idle.lock();
+        let connections = idle.get_mut(id)?;
+        let index = preferred_index(connections, choice)?;
+        Some(connections.remove(index))
     }
 
     /// Adds a connection whose last answer was read completely, unless there are
@@ -128,11 +145,11 @@
         &self,
         now: Moment,
         id: &UpstreamId,
-        connection: Connection<TcpStream>,
+        ready: ReadyConnection,
         keep_alive: Option<&str>,
         max_idle: u32,
     ) {
-        if connection.has_buffered_bytes() {
+        if ready.connection.has_buffered_bytes() {
             return;
         }
         let idle_life = idle_life(keep_alive);
@@ -142,7 +159,8 @@
             connections.remove(0);
         }
         connections.push(IdleConnection {
-            connection,
+            connection: ready.connection,
+            has_unnamed_rejection: ready.has_unnamed_rejection,
             idle_since: now,
             expires_at: now + idle_life,
         });
@@ -171,6 +189,22 @@
     duration.saturating_sub(KEEP_ALIVE_MARGIN)
 }
 
+/// Returns the index of the connection that was used last, of those on which an answer is
+/// least likely to be in doubt.
+///
+/// A client may not repeat a request that must not run twice if a rejection of it is in
+/// doubt, so that one goes over a new connection instead.
+fn preferred_index(connections: &[IdleConnection], choice: ConnectionChoice) -> Option<usize> {
+    let certain = connections
+        .iter()
+        .rposition(|idle| !idle.has_unnamed_rejection);
+    match certain {
+        Some(index) => Some(index),
+        None if choice == ConnectionChoice::RecentlyUsed => None,
+        None => connections.len().checked_sub(1),
+    }
+}
+
 /// Parses the timeout of a `Keep-Alive` header.
 fn parse_keep_alive(text: &str) -> Option<Duration> {
     for part in text.split(',') {
--- a/crates/front/src/relay_client.rs
+++ b/crates/front/src/relay_client.rs
@@ -261,10 +261,10 @@
         let connecting = self
             .links
             .take(now, &link, relay.address, choice, remaining);
-        let Ok(ready) = connecting.await else {
+        let Ok(mut ready) = connecting.await else {
             return (RelayEnd::NotWritten, None);
         };
-        let mut connection = ready.connection;
+        let connection = &mut ready.connection;
         let remaining = request.deadline - clock.now();
         let mut bytes = self.encode_head(entry, request, remaining);
         let blocks = request.body.blocks_behind(&mut bytes);
@@ -278,21 +278,18 @@
         if !matches!(timeout(remaining, writing).await, Ok(Ok(()))) {
             return (RelayEnd::NotWritten, None);
         }
-        let head = match self
-            .read_head(&mut connection, relay, exchanger, request)
-            .await
-        {
+        let head = match self.read_head(connection, relay, exchanger, request).await {
             Ok(head) => head,
             Err(end) => return (end, None),
         };
         let (is_kept, body_length) = (head.keeps_alive, head.body);
-        let (end, answer) = read_reply(&mut connection, exchanger, request, head).await;
+        let (end, answer) = read_reply(connection, exchanger, request, head).await;
         let is_read = answer.is_some() || body_length == h1::BodyLength::Fixed(0);
         if is_kept && is_read {
             let now = clock.now();
             let keep_alive = Some(LINK_KEEP_ALIVE);
             self.links
-                .put(now, &link, connection, keep_alive, MAX_IDLE_LINKS);
+                .put(now, &link, ready, keep_alive, MAX_IDLE_LINKS);
         }
         (end, answer)
     }
--- a/crates/front/src/reports.rs
+++ b/crates/front/src/reports.rs
@@ -16,9 +16,11 @@
 use crate::replica::StoreReplica;
 use crate::send_budget::SendBudget;
 use crate::wire_load::{LoadList, WireLoad, WireObservation};
+use crate::wire_share::{WireDemand, WireServiceShares};
 use async_std::net::UdpSocket;
 use fleet::EntryChange;
 use grant::PreviousTerm;
+use kernel::Moment;
 use log::{debug, warn};
 use place::{FleetLoad, ObservedLoad};
 use std::net::SocketAddr;
@@ -78,6 +80,7 @@
             report.is_early = !report.wanted.is_empty() && now < last_full_at + interval;
             if !report.is_early {
                 last_full_at = now;
+                report.demand = self.drain_demand(now);
             }
             let Some(leader) = self.peers.leader() else {
                 continue;
@@ -87,6 +90,7 @@
                 cold.accept(now, &cold.issue(&report));
                 self.update_own_relay_list(&report);
                 self.set_fleet_loads(&self.peers.next_fleet_loads().loads);
+                self.set_rank_shares(self.rank_shares());
                 continue;
             }
             if let Some(bytes) = encode(&PeerMessage::Report(report)) {
@@ -192,6 +196,7 @@
             cold: self.dispatcher.state.cold.known_cold(false),
             greatest_term: self.greatest_term(),
             relay_hosts: None,
+            rank_shares: self.rank_shares(),
         };
         let changes = self.replica.entry_changes_since(known.entries);
         let mut replies = vec![first];
@@ -216,6 +221,22 @@
         replies
     }
 
+    /// Returns the shares of ranks that this host tells as the leader; none without them.
+    fn rank_shares(&self) -> Vec<WireServiceShares> {
+        let state = &self.dispatcher.state;
+        let rank_shares = state.rank_shares.as_ref();
+        rank_shares.map_or_else(Vec::new, |shares| {
+            shares.shares(state.clock.now(), &state.view.load(), &self.peers)
+        })
+    }
+
+    fn set_rank_shares(&self, told: Vec<WireServiceShares>) {
+        let state = &self.dispatcher.state;
+        if let Some(rank_shares) = &state.rank_shares {
+            rank_shares.set_shares(state.clock.now(), told);
+        }
+    }
+
     fn set_fleet_loads(&self, fleet_loads: &[WireLoad]) {
         let state = &self.dispatcher.state;
         let view = state.view.load();
@@ -252,6 +273,14 @@
         }
         self.dispatcher.state.cold.apply_cold(&report.cold);
         self.peers.apply_report(report, &observed, from);
+        let state = &self.dispatcher.state;
+        // A report that asks for tokens early has no demand, and must not lower the rates.
+        if let Some(rank_shares) = &state.rank_shares
+            && self.peers.is_leading()
+            && !report.is_early
+        {
+            rank_shares.record_demand(state.clock.now(), &report.host, &report.demand);
+        }
     }
 
     fn report(&self) -> HostReport {
@@ -284,9 +313,16 @@
             cold: state.cold.known_cold(true),
             greatest_term: self.greatest_term(),
             relay: state.relay.as_ref().map(RelayClient::offer),
+            demand: WireDemand::default(),
         }
     }
 
+    /// Returns the work that was offered since the last call; empty without shares of ranks.
+    fn drain_demand(&self, now: Moment) -> WireDemand {
+        let rank_shares = self.dispatcher.state.rank_shares.as_ref();
+        rank_shares.map_or_else(WireDemand::default, |shares| shares.drain_demand(now))
+    }
+
     /// Returns the greatest term that this host knows of, in the epochs of owners too.
     fn greatest_term(&self) -> u64 {
         for map in self.dispatcher.state.view.load().owners.values() {
@@ -392,6 +428,7 @@
                     self.set_fleet_loads(&reply.fleet_loads);
                     self.record_load_age(&reply);
                     self.peers.relay_lists.apply(reply.relay_hosts);
+                    self.set_rank_shares(reply.rank_shares);
                     let changes = reply.entries.into_iter().map(EntryChange::from);
                     let changes: Vec<EntryChange> = changes.collect();
                     self.replica
--- a/crates/place/src/fleet_loads.rs
+++ b/crates/place/src/fleet_loads.rs
@@ -166,6 +166,12 @@
         self.upstreams.get(id)?.load.slowness
     }
 
+    /// Returns the mean of the occupancies that the upstream reported, as a fraction of its
+    /// slots.
+    pub fn occupancy_ratio(&self, id: &str) -> Option<f64> {
+        self.upstreams.get(id)?.load.occupancy_ratio
+    }
+
     /// Returns what a holder of keys can do, if its momentary noise is known.
     pub fn holder_pace(&self, id: &str) -> Option<HolderPace> {
         let state = self.upstreams.get(id)?;
