Take the momentary figure as that of the machine, whose own speed is a part of it

Service times were divided by the whole figure, so that the leader took all upstreams for equally fast. The slowness is measured against the work's usual time again, the noise of a report is taken out by the figure's long average, and at selection a figure counts relative to the upstream's slowness.

--- a/crates/place/src/estimate.rs
+++ b/crates/place/src/estimate.rs
@@ -88,7 +88,7 @@
         // Before anything is measured the times are zero, so that only occupancy counts.
         let unit_ms = work.unit_ms.unwrap_or_default();
         // A momentary factor is in force for a part of a long time only.
-        let paced_ms = |usual_ms: f64| usual_ms * state.pace_factor(now, usual_ms);
+        let paced_ms = |usual_ms: f64| usual_ms * state.pace_factor(now, usual_ms, slowness);
         Self {
             service: paced_ms(work.route_ms.unwrap_or_default() * slowness),
             wait: paced_ms(excess_occupancy / slots * unit_ms * slowness),
--- a/crates/place/src/fleet_loads.rs
+++ b/crates/place/src/fleet_loads.rs
@@ -84,6 +84,8 @@
     /// Whether the upstream reports its momentary factor.
     reports_pace: bool,
     persistent_slowness: Option<f64>,
+    /// Long average of the reported factor: the speed of the machine with usual noise.
+    usual_factor: Option<f64>,
     crowding_ratio: f64,
     relief: f64,
 }
@@ -127,6 +129,7 @@
             capacity: None,
             reports_pace: false,
             persistent_slowness: None,
+            usual_factor: None,
             crowding_ratio: 0.0,
             relief: 1.0,
         };
@@ -136,20 +139,22 @@
         };
         let requests = f64::from(observed.requests);
         let slowness_weight = 1.0 - 0.5_f64.powf(requests / SLOWNESS_HALF_LIFE_REQUESTS);
+        let persistent_weight = 1.0 - 0.5_f64.powf(requests / PERSISTENT_HALF_LIFE_REQUESTS);
+        state.usual_factor = average(state.usual_factor, observed.pace_factor, persistent_weight);
+        // What the requests took longer because of noise is taken out.
+        let slowness = match (observed.slowness, observed.pace_factor, state.usual_factor) {
+            (Some(slowness), Some(factor), Some(usual)) => Some(slowness * usual / factor),
+            (slowness, ..) => slowness,
+        };
         let load = &mut state.load;
-        load.slowness = average(load.slowness, observed.slowness, slowness_weight);
+        load.slowness = average(load.slowness, slowness, slowness_weight);
         load.occupancy_ratio = average(
             load.occupancy_ratio,
             observed.occupancy_ratio,
             OCCUPANCY_WEIGHT,
         );
         state.reports_pace |= observed.pace_factor.is_some();
-        let persistent_weight = 1.0 - 0.5_f64.powf(requests / PERSISTENT_HALF_LIFE_REQUESTS);
-        state.persistent_slowness = average(
-            state.persistent_slowness,
-            observed.slowness,
-            persistent_weight,
-        );
+        state.persistent_slowness = average(state.persistent_slowness, slowness, persistent_weight);
         state.adopt_changed_speed();
         state.sent += observed.requests;
         state.refused += observed.refused;
--- a/crates/place/src/pace.rs
+++ b/crates/place/src/pace.rs
@@ -1,8 +1,9 @@
 //! Momentary pace of an upstream's machine.
 //!
 //! Upstreams that share their machines are slowed down or sped up for periods of a few
-//! hundred milliseconds. Some report the current factor with their load. It is kept
-//! apart from the upstream's own speed, which persists.
+//! hundred milliseconds. Some report with their load how long work takes there now. That
+//! includes the machine's own speed, which persists and is kept apart here: a machine
+//! that is always slow reports a high figure all the time.
 
 use kernel::Moment;
 use std::time::Duration;
@@ -16,28 +17,31 @@
 /// Factor by which work takes longer at an upstream, as last reported.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct MomentaryPace {
-    /// Time that work takes as a multiple of what it usually takes there.
+    /// Time that work takes there as a multiple of its usual time, whatever the reason.
     pub factor: f64,
     /// When it was reported.
     pub reported_at: Moment,
 }
 
 impl MomentaryPace {
-    /// Returns the expected mean factor over the next `duration_ms`.
-    pub(crate) fn expected_factor(self, now: Moment, duration_ms: f64) -> f64 {
+    /// Returns the factor by which work is expected to take longer over the next
+    /// `duration_ms` than at the upstream's persistent `slowness`.
+    pub(crate) fn expected_factor(self, now: Moment, duration_ms: f64, slowness: f64) -> f64 {
         let age = now - self.reported_at;
         if age >= MAX_AGE {
             return 1.0;
         }
         let half_lives = age.as_secs_f64() / HALF_LIFE.as_secs_f64();
-        1.0 + (self.factor - 1.0) * 0.5_f64.powf(half_lives) * mean_weight(duration_ms)
+        let momentary = self.factor / slowness;
+        1.0 + (momentary - 1.0) * 0.5_f64.powf(half_lives) * mean_weight(duration_ms)
     }
 
-    /// Returns the expected mean factor over the `duration_ms` before the report.
+    /// Returns the expected mean of the reported factor over the `duration_ms` before the
+    /// report, at an upstream of a persistent `slowness`.
     ///
     /// Work that takes longer than a factor is in force was only partly done at it.
-    pub(crate) fn past_factor(self, duration_ms: f64) -> f64 {
-        1.0 + (self.factor - 1.0) * mean_weight(duration_ms)
+    pub(crate) fn past_factor(self, duration_ms: f64, slowness: f64) -> f64 {
+        slowness + (self.factor - slowness) * mean_weight(duration_ms)
     }
 }
 
--- a/crates/place/src/selector.rs
+++ b/crates/place/src/selector.rs
@@ -243,7 +243,8 @@
             // Weighted sampling without replacement: the smallest of exponential
             // variables whose rates are the weights.
             let slowness = state.slowness(now, work.unit_ms, candidate.is_cold);
-            let pace = state.pace_factor(now, work.unit_ms.unwrap_or_default() * slowness);
+            let unit_ms = work.unit_ms.unwrap_or_default() * slowness;
+            let pace = state.pace_factor(now, unit_ms, slowness);
             let rate = f64::from(candidate.slots.max(1)) / (slowness * pace * state.avoidance());
             drawn.push((-self.rng.f64().ln() / rate, index));
         }
--- a/crates/place/src/state.rs
+++ b/crates/place/src/state.rs
@@ -344,9 +344,11 @@
 
     /// Returns the factor by which work of `duration_ms` that starts now is expected to
     /// take longer than usual at this upstream; 1 if nothing was reported lately.
-    pub(crate) fn pace_factor(&self, now: Moment, duration_ms: f64) -> f64 {
+    ///
+    /// `slowness` is the upstream's persistent one.
+    pub(crate) fn pace_factor(&self, now: Moment, duration_ms: f64, slowness: f64) -> f64 {
         self.pace
-            .map_or(1.0, |pace| pace.expected_factor(now, duration_ms))
+            .map_or(1.0, |pace| pace.expected_factor(now, duration_ms, slowness))
     }
 
     /// Returns the number of own measurements that the slowness counts for now.
@@ -452,24 +454,33 @@
         let occupancy_ratio = ((occupancy + 1.0) / f64::from(sent.slots.max(1))).max(1.0);
         let shortest_ms = latency_ms / occupancy_ratio;
         let pace = report.and_then(|report| report.pace(now));
-        let pace_factor = pace.map_or(1.0, |pace| pace.past_factor(shortest_ms));
+        let known_slowness = self.slowness(now, work.unit_ms, false);
+        let factor = match pace {
+            Some(pace) => pace.past_factor(shortest_ms, known_slowness),
+            None => known_slowness,
+        };
         let weight = if pace.is_none() && self.reports_pace {
             UNKNOWN_PACE_WEIGHT
         } else {
             1.0
         };
         let expected_ms = match work.route_ms {
-            Some(route_ms) => route_ms * self.slowness(now, work.unit_ms, false) * pace_factor,
+            Some(route_ms) => route_ms * factor,
             None => shortest_ms,
         };
         let is_exact = occupancy_ratio <= 1.0 || work.route_ms.is_none();
         if !is_exact && (shortest_ms..latency_ms).contains(&expected_ms) {
             return None;
         }
-        let service_ms = expected_ms.clamp(shortest_ms, latency_ms) / pace_factor;
+        let measured_ms = expected_ms.clamp(shortest_ms, latency_ms);
+        let service_ms = if self.reports_pace {
+            measured_ms / factor
+        } else {
+            measured_ms
+        };
         let route_ms = work.route_ms.unwrap_or(service_ms);
         let (min, max) = SLOWNESS_RANGE;
-        let slowness = (service_ms / route_ms.max(f64::MIN_POSITIVE)).clamp(min, max);
+        let slowness = (measured_ms / route_ms.max(f64::MIN_POSITIVE)).clamp(min, max);
         self.observed.measured += weight;
         self.observed.slowness += slowness * weight;
         let samples = self.current_samples(now, work.unit_ms) + weight;
