--- a/crates/relay/tests/failures.rs
+++ b/crates/relay/tests/failures.rs
@@ -63,6 +63,11 @@
         ..base
     };
     assert_eq!(way(uncertain), "uncertain");
+    let cold = WayFacts {
+        may_need_token: true,
+        ..base
+    };
+    assert_eq!(way(cold), "cold");
     let itself = WayFacts { host: "b", ..base };
     assert_eq!(way(itself), "own-upstream");
     let off = WayFacts {
