review: case 7, an old holder takes keys again after a restore of the store

Cause: a leader that remembers no owners adopts the row of owners of the copy, and renews its ranges under their old epochs. No code of the project.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,6 +5,8 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod line_ends;
+mod restored;
+mod servers;
 mod store;
 mod wire;
 
@@ -67,6 +69,12 @@
 }
 
 impl Host {
+    /// Kills the process, as SIGKILL does.
+    pub fn kill(&mut self) {
+        let _killed = self.process.kill();
+        let _status = self.process.wait();
+    }
+
     /// Starts a host with the command of the deploy file.
     pub fn start(folder: &Folder, name: &str, store: SocketAddr) -> Self {
         let [front, ready, control, internal] = [(); 4].map(|()| free_port());
@@ -150,6 +158,7 @@
     });
     let outcome = match case.as_str() {
         "line-ends" => line_ends::play(&record, has_trouble),
+        "restored" => restored::play(&record, has_trouble),
         _ => Err(format!("unknown case {case}")),
     };
     let code = match &outcome {
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -7,13 +7,19 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Rows {
     /// Value (base64, `None` once removed) and version by table and key.
     rows: BTreeMap<(String, String), (Option<String>, u64)>,
     version: u64,
+    /// Rises by one whenever the store comes back from a copy.
+    era: u64,
+    is_away: bool,
 }
 
+/// A copy of the store, from which it may come back.
+pub struct StoreCopy(Rows);
+
 #[derive(Clone)]
 pub struct Store {
     state: Arc<(Mutex<Rows>, Condvar)>,
@@ -50,6 +56,30 @@
         changed.notify_all();
     }
 
+    pub fn take_copy(&self) -> StoreCopy {
+        StoreCopy(self.state.0.lock().unwrap().clone())
+    }
+
+    /// Answers no more calls than with 503, until it comes back.
+    pub fn go_away(&self) {
+        let (rows, changed) = &*self.state;
+        rows.lock().unwrap().is_away = true;
+        changed.notify_all();
+    }
+
+    /// Comes back from a copy: what was written since is gone, versions go back.
+    pub fn come_back_from(&self, copy: StoreCopy) {
+        let mut rows = self.state.0.lock().unwrap();
+        let era = rows.era + 1;
+        *rows = copy.0;
+        rows.era = era;
+        rows.is_away = false;
+    }
+
+    fn era(&self) -> u64 {
+        self.state.0.lock().unwrap().era
+    }
+
     fn serve(&self, stream: TcpStream) {
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
@@ -57,7 +87,8 @@
             let (status, body) = self.answer(&request);
             let head = format!(
                 "HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\n\
-                 Content-Length: {}\r\n\r\n{body}",
+                 Store-Era: {}\r\nContent-Length: {}\r\n\r\n{body}",
+                self.era(),
                 body.len()
             );
             if writer.write_all(head.as_bytes()).is_err() {
@@ -68,6 +99,9 @@
 
     fn answer(&self, request: &Message) -> (u16, String) {
         let (path, query) = request.target();
+        if self.state.0.lock().unwrap().is_away {
+            return (503, "{}".to_owned());
+        }
         let argument = |name: &str| {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
             let mut values = pairs.filter(|(key, _)| *key == name);
@@ -78,7 +112,7 @@
             "/rows-feed" => {
                 let after = argument("after").parse().unwrap_or(0);
                 let wait = Duration::from_millis(argument("wait_ms").parse().unwrap_or(0));
-                (200, self.feed(&argument("table"), after, wait))
+                self.feed(&argument("table"), after, wait)
             }
             "/rows-tx" => self.transact(&request.body),
             _ => (404, "{}".to_owned()),
@@ -120,17 +154,24 @@
         )
     }
 
-    fn feed(&self, table: &str, after: u64, wait: Duration) -> String {
+    fn feed(&self, table: &str, after: u64, wait: Duration) -> (u16, String) {
         let (lock, changed) = &*self.state;
         let deadline = Instant::now() + wait;
         let mut rows = lock.lock().unwrap();
+        let era = rows.era;
         loop {
+            if rows.is_away || rows.era != era {
+                return (503, "{}".to_owned());
+            }
+            if after > rows.version {
+                return (410, "{}".to_owned());
+            }
             let is_new = |((name, _), (_, version)): (&(String, String), &(Option<String>, u64))| {
                 name == table && *version > after
             };
             let remaining = deadline.saturating_duration_since(Instant::now());
             if rows.rows.iter().any(is_new) || remaining.is_zero() {
-                return self.encode(&rows, table, after.max(1));
+                return (200, self.encode(&rows, table, after.max(1)));
             }
             rows = changed.wait_timeout(rows, remaining).unwrap().0;
         }
