--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,6 +4,7 @@
 //! `play CASE DIRECTORY`; the variable TROUBLE, if it is 0, leaves the disruption out.
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod bodies;
 mod line_ends;
 mod restored;
 mod servers;
@@ -120,6 +121,15 @@
         }
     }
 
+    /// Returns the resident memory of the process.
+    pub fn resident_mb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.process.id());
+        let status = std::fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|text| text.trim().trim_end_matches(" kB").parse::<u64>().ok());
+        kilobytes.unwrap_or(0) / 1_024
+    }
+
     /// Waits until the host says that it is ready.
     pub fn wait_until_ready(&self) -> bool {
         let deadline = Instant::now() + Duration::from_secs(20);
@@ -157,6 +167,7 @@
         lines: Mutex::default(),
     });
     let outcome = match case.as_str() {
+        "bodies" => bodies::play(&record, has_trouble),
         "line-ends" => line_ends::play(&record, has_trouble),
         "restored" => restored::play(&record, has_trouble),
         _ => Err(format!("unknown case {case}")),
