review: case 6, keys are given out anew while others hold them

Cause: after a restore of the store the leader uses the owners that it remembers only for rows that the copy has; without a row it starts from nothing. No code of the project.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -169,6 +169,7 @@
     let outcome = match case.as_str() {
         "bodies" => bodies::play(&record, has_trouble),
         "line-ends" => line_ends::play(&record, has_trouble),
+        "first-grants" => restored::play_first_grants(&record, has_trouble),
         "restored" => restored::play(&record, has_trouble),
         _ => Err(format!("unknown case {case}")),
     };
--- a/review/standins/restored.rs
+++ b/review/standins/restored.rs
@@ -18,8 +18,62 @@
 /// Age of the copy; the joined server has got keys by the greatest.
 const MIN_COPY_AGE: Duration = Duration::from_secs(3);
 const MAX_COPY_AGE: Duration = Duration::from_secs(5);
+/// Age of a copy from before the first grants.
+const FIRST_COPY_AGE: Duration = Duration::from_secs(6);
 const CONFIG: &str = r#"{"version":"00000001","limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000},"listeners":[{"host":"charts.example","rule_set":[{"name":"r-1","kind":"idempotent","target_latency_ms":400,"priority":1,"match":{"prefix":"/charts/"},"action":{"service":"mapview","timeout_ms":1500,"max_attempts":2}}]}],"clusters":[{"name":"mapview","health_path":"/health","max_connections":232,"protocol":"h1","tls":false,"sharded":true,"warm_s":3.0,"grants":"call"}]}"#;
 
+/// Hosts go on, and the copy is from before the first keys were granted.
+pub fn play_first_grants(record: &Arc<Record>, has_trouble: bool) -> Result<u32, String> {
+    let store = Store::start();
+    store.set("op", "config", CONFIG);
+    let fleet: Arc<Fleet> = Arc::default();
+    watch_holders(&fleet, record);
+    let folder = Folder::new();
+    let start = |number: usize| Host::start(&folder, &format!("front-{number}"), store.address);
+    let hosts: Vec<Host> = (0..HOSTS).map(start).collect();
+    std::thread::sleep(Duration::from_secs(1));
+    for id in ["i-1", "i-2", "i-3", "i-4"] {
+        fleet.start_server(id, &store, record);
+    }
+    let copy = store.take_copy();
+    let copied_at = Instant::now();
+    record.note("store: a copy is taken");
+    if !hosts.iter().all(Host::wait_until_ready) {
+        return Err("a host did not become ready".to_owned());
+    }
+    let load = Load::start(record, &hosts);
+    let holds_all = || {
+        let servers = fleet.servers.lock().unwrap().clone();
+        servers.iter().all(|server| server.held_count() > 0)
+    };
+    if !wait_for(Duration::from_secs(20), holds_all) {
+        return Err("the servers got no keys".to_owned());
+    }
+    let age = copied_at.elapsed();
+    std::thread::sleep(FIRST_COPY_AGE.saturating_sub(age));
+    record.note(&format!("before the disruption: rule broken {} times", fleet.broken()));
+    if has_trouble {
+        store.go_away();
+        std::thread::sleep(AWAY);
+        store.come_back_from(copy);
+        record.note(&format!("store: back from a copy {} ms old", copied_at.elapsed().as_millis()));
+        store.set("op", "config", CONFIG);
+        let servers = fleet.servers.lock().unwrap().clone();
+        for server in &servers {
+            server.register(&store);
+        }
+    }
+    std::thread::sleep(Duration::from_secs(8));
+    load.is_stopped.store(true, Ordering::SeqCst);
+    std::thread::sleep(Duration::from_millis(200));
+    let served = load.served.load(Ordering::SeqCst);
+    record.note(&format!("client: {served} requests served"));
+    if served < 100 {
+        return Err("too few requests were served".to_owned());
+    }
+    Ok(fleet.broken())
+}
+
 pub fn play(record: &Arc<Record>, has_trouble: bool) -> Result<u32, String> {
     let store = Store::start();
     store.set("op", "config", CONFIG);
