Refuse heads whose lines do not end with CRLF

Cause: the reader took the first CRLF CRLF for the end of the head, httparse the first empty line of either kind, and the length that it returned was not looked at. What lay between was dropped. Requests were read in the same way. Whether an empty line before a head was skipped depended on where a packet ended.

Fix: a line that ends with LF alone is an error as soon as it arrives; a parser that stops before the end that the reader found is one as well; empty lines are skipped however they arrive. Both readers then see the same end, or there is no message: 400 to a client, 502 for an upstream, which may have run the request.

--- a/crates/h1/src/connection.rs
+++ b/crates/h1/src/connection.rs
@@ -227,15 +227,17 @@
         let mut scanned = 0;
         let mut skipped = 0;
         loop {
-            if scanned == 0 {
-                skipped += self.skip_empty_lines();
-                // Empty lines without end would keep this task, and with it the thread,
-                // busy for as long as they arrive.
-                if skipped > limits.max_bytes {
-                    return Err(Error::HeadTooLarge);
-                }
+            let empty_lines = self.skip_empty_lines();
+            if empty_lines > 0 {
+                scanned = 0;
+                skipped += empty_lines;
+            }
+            // Empty lines without end would keep this task, and with it the thread,
+            // busy for as long as they arrive.
+            if skipped > limits.max_bytes {
+                return Err(Error::HeadTooLarge);
             }
-            if let Some(end) = find_head_end(self.buffered(), scanned) {
+            if let Some(end) = find_head_end(self.buffered(), scanned)? {
                 if end > limits.max_bytes {
                     return Err(Error::HeadTooLarge);
                 }
@@ -311,8 +313,27 @@
     }
 }
 
-fn find_head_end(bytes: &[u8], scanned: usize) -> Option<usize> {
-    let from = scanned.saturating_sub(3);
-    let at = bytes[from..].windows(4).position(|w| w == b"\r\n\r\n")?;
-    Some(from + at + 4)
+/// Returns the length of the head that `bytes` begin with, or `None` if it is incomplete;
+/// the first `scanned` bytes have been searched before.
+///
+/// # Errors
+///
+/// Fails at a line that ends with LF alone. Such a line may end the head for other
+/// readers, which would then find another body (RFC 9112, section 2.2).
+fn find_head_end(bytes: &[u8], scanned: usize) -> Result<Option<usize>> {
+    for (at, _) in bytes
+        .iter()
+        .enumerate()
+        .skip(scanned)
+        .filter(|(_, b)| **b == b'\n')
+    {
+        let line_start = &bytes[..=at];
+        if !line_start.ends_with(b"\r\n") {
+            return Err(Error::Malformed("head line does not end with CRLF"));
+        }
+        if line_start.ends_with(b"\r\n\r\n") {
+            return Ok(Some(at + 1));
+        }
+    }
+    Ok(None)
 }
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -138,7 +138,8 @@
     let mut lines = vec![httparse::EMPTY_HEADER; limits.max_headers];
     let mut request = httparse::Request::new(&mut lines);
     match request.parse(bytes) {
-        Ok(httparse::Status::Complete(_)) => {}
+        Ok(httparse::Status::Complete(end)) if end == bytes.len() => {}
+        Ok(httparse::Status::Complete(_)) => return Err(Error::Malformed("bytes behind the head")),
         Ok(httparse::Status::Partial) => return Err(Error::Malformed("incomplete head")),
         Err(httparse::Error::TooManyHeaders) => return Err(Error::HeadTooLarge),
         Err(_parse_error) => return Err(Error::Malformed("request head")),
@@ -176,7 +177,8 @@
     let mut lines = vec![httparse::EMPTY_HEADER; limits.max_headers];
     let mut response = httparse::Response::new(&mut lines);
     match response.parse(bytes) {
-        Ok(httparse::Status::Complete(_)) => {}
+        Ok(httparse::Status::Complete(end)) if end == bytes.len() => {}
+        Ok(httparse::Status::Complete(_)) => return Err(Error::Malformed("bytes behind the head")),
         Ok(httparse::Status::Partial) => return Err(Error::Malformed("incomplete head")),
         Err(httparse::Error::TooManyHeaders) => return Err(Error::HeadTooLarge),
         Err(_parse_error) => return Err(Error::Malformed("invalid response head")),
