Refuse lengths that only one of two readers understands

Callers could see: a body that another reader of the same bytes would have ended elsewhere.

Cause: values of headers were trimmed of all whitespace that Unicode knows, so that `content-length: U+00A0 4` was a length here and none to others. Chunks were accepted in HTTP/1.0, to which they are a part of the body. A connection was used again after a 204 that declared a body, whose bytes may follow late.

Fix: only spaces and tabs are trimmed; chunks in HTTP/1.0 are an error; a 204 that declares content ends its connection.

Evidence: message_with_ambiguous_length_is_an_error (cases of no-break and wide spaces), message_of_http_1_0_with_chunks_is_an_error and response_without_content_that_declares_some_ends_the_connection failed before: 6 cases.

--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -76,7 +76,7 @@
     fn has_token(&self, name: &str, token: &str) -> bool {
         self.values(name)
             .flat_map(|value| value.split(','))
-            .any(|list_item| list_item.trim().eq_ignore_ascii_case(token))
+            .any(|list_item| trim_whitespace(list_item).eq_ignore_ascii_case(token))
     }
 }
 
@@ -154,7 +154,7 @@
     if is_http_1_1 && headers.values("host").count() != 1 {
         return Err(Error::Malformed("expected one host header"));
     }
-    let body = match declared_length(&headers)? {
+    let body = match declared_length(&headers, is_http_1_1)? {
         Some(length) => length,
         None => BodyLength::Fixed(0),
     };
@@ -190,13 +190,15 @@
     let is_http_1_1 = response.version == Some(1);
     let headers = parse_headers(response.headers)?;
     let has_no_body = method == "HEAD" || status == 204 || status == 304;
-    let declared = declared_length(&headers)?;
+    let declared = declared_length(&headers, is_http_1_1)?;
     let body = match declared {
         _ if has_no_body => BodyLength::Fixed(0),
         Some(length) => length,
         None => BodyLength::UntilClose,
     };
-    let is_delimited = body != BodyLength::UntilClose;
+    // A length that a 204 may not declare leaves open where the next message begins.
+    let is_delimited = body != BodyLength::UntilClose
+        && (status != 204 || declared.is_none_or(|length| length == BodyLength::Fixed(0)));
     let keeps_alive = is_http_1_1 && is_delimited && !headers.has_token("connection", "close");
     Ok(ResponseHead {
         status,
@@ -212,16 +214,21 @@
         let Ok(value) = std::str::from_utf8(line.value) else {
             return Err(Error::Malformed("header value is not text"));
         };
-        headers.push(&line.name.to_ascii_lowercase(), value.trim());
+        headers.push(&line.name.to_ascii_lowercase(), trim_whitespace(value));
     }
     Ok(headers)
 }
 
+/// Trims the characters that count as whitespace in a header (RFC 9110, section 5.6.3).
+fn trim_whitespace(text: &str) -> &str {
+    text.trim_matches([' ', '\t'])
+}
+
 /// Returns the framing that the headers declare, or `None` if they declare none.
 ///
 /// Messages whose length two implementations could interpret differently are refused
 /// (RFC 9112, section 6.3).
-fn declared_length(headers: &HeaderList) -> Result<Option<BodyLength>> {
+fn declared_length(headers: &HeaderList, is_http_1_1: bool) -> Result<Option<BodyLength>> {
     let mut lengths = headers.values("content-length");
     let length = lengths.next();
     if lengths.next().is_some() {
@@ -235,6 +242,10 @@
         if codings.next().is_some() || !coding.eq_ignore_ascii_case("chunked") {
             return Err(Error::Malformed("unsupported transfer-encoding"));
         }
+        // To an HTTP/1.0 peer the chunks are a part of the body (RFC 9112, section 6.1).
+        if !is_http_1_1 {
+            return Err(Error::Malformed("transfer-encoding in HTTP/1.0"));
+        }
         return Ok(Some(BodyLength::Chunked));
     }
     let Some(text) = length else {
--- a/crates/h1/tests/framing.rs
+++ b/crates/h1/tests/framing.rs
@@ -152,6 +152,55 @@
     assert!(is_malformed(&read_request(bytes, &[])));
 }
 
+/// Guards against lengths that only one of two readers understands, such as those that are
+/// padded with whitespace of other kinds than HTTP's.
+#[rstest]
+#[case::no_break_space("content-length: \u{a0}4\r\n\r\nbody")]
+#[case::wide_space("content-length: 4\u{2003}\r\n\r\nbody")]
+#[case::coding_with_no_break_space(
+    "transfer-encoding: chunked\u{a0}\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+)]
+#[case::two_codings("transfer-encoding: chunked, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")]
+#[case::list_of_lengths("content-length: 4, 4\r\n\r\nbody")]
+#[case::signed("content-length: +4\r\n\r\nbody")]
+#[case::hexadecimal("content-length: 0x4\r\n\r\nbody")]
+#[case::empty("content-length:\r\n\r\nbody")]
+#[case::folded("content-length:\r\n 4\r\n\r\nbody")]
+#[case::space_before_colon("content-length : 4\r\n\r\nbody")]
+fn message_with_ambiguous_length_is_an_error(#[case] rest: &str) {
+    let request = format!("POST /a HTTP/1.1\r\nhost: t\r\n{rest}");
+    let read = read_request(request.as_bytes(), &[]);
+    assert!(is_malformed(&read), "{read:?}");
+    let response = format!("HTTP/1.1 200 OK\r\n{rest}");
+    let read = read_response(response.as_bytes(), &[]);
+    assert!(is_malformed(&read), "{read:?}");
+}
+
+/// To an HTTP/1.0 peer chunks are a part of the body.
+#[test]
+fn message_of_http_1_0_with_chunks_is_an_error() {
+    let rest = "transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+    let read = read_request(format!("POST /a HTTP/1.0\r\n{rest}").as_bytes(), &[]);
+    assert!(is_malformed(&read), "{read:?}");
+    let read = read_response(format!("HTTP/1.0 200 OK\r\n{rest}").as_bytes(), &[]);
+    assert!(is_malformed(&read), "{read:?}");
+}
+
+#[rstest]
+#[case::none("", true)]
+#[case::zero("content-length: 0\r\n", true)]
+#[case::length("content-length: 4\r\n", false)]
+#[case::chunks("transfer-encoding: chunked\r\n", false)]
+fn response_without_content_that_declares_some_ends_the_connection(
+    #[case] length: &str,
+    #[case] keeps_alive: bool,
+) {
+    let text = format!("HTTP/1.1 204 No Content\r\n{length}\r\nbody");
+    let read = read_response(text.as_bytes(), &[]).expect("valid");
+    let (head, body) = read.expect("a response");
+    assert_eq!((head.keeps_alive, body), (keeps_alive, Vec::new()));
+}
+
 /// Returns the end of the head for a reader that takes LF, with or without CR, for a line
 /// end, and that skips empty lines before the head.
 fn lenient_head_end(bytes: &[u8]) -> Option<usize> {
