Check the lines of chunks and trailers

Callers could see: a request that is taken for a trailer of the one before it and never answered, or a chunk that ends elsewhere for another reader.

Cause: a chunk size was trimmed of all whitespace behind it, CR among it, and extensions could have control characters, which are line ends to some readers. Whatever stood behind the last chunk was skipped as trailers up to an empty line.

Fix: a line with control characters other than tabs is an error, and so is a trailer that is no header.

Evidence: five cases of message_with_ambiguous_length_is_an_error failed before: chunk_size_with_carriage_return, chunk_size_with_form_feed, extension_with_carriage_return, trailer_with_carriage_return, trailer_that_is_a_request.

--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -1,5 +1,6 @@
 //! Reading of bodies and their framing.
 
+use crate::head::check_trailer;
 use crate::{Connection, Error, Result};
 use futures::io::{AsyncRead, AsyncWrite};
 
@@ -107,7 +108,8 @@
     S: AsyncRead + AsyncWrite + Unpin,
 {
     let line = connection.read_line(MAX_CHUNK_LINE_BYTES).await?;
-    let digits = line.split(';').next().unwrap_or_default().trim_end();
+    let digits = line.split(';').next().unwrap_or_default();
+    let digits = digits.trim_end_matches([' ', '\t']);
     let is_hex = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_hexdigit());
     if !is_hex || digits.len() > 15 {
         return Err(Error::Malformed("invalid chunk size"));
@@ -136,6 +138,7 @@
         if line.is_empty() {
             return Ok(());
         }
+        check_trailer(&line)?;
         remaining = remaining.saturating_sub(line.len());
     }
 }
--- a/crates/h1/src/connection.rs
+++ b/crates/h1/src/connection.rs
@@ -193,7 +193,8 @@
 
     /// Reads a line and returns it without its line end.
     ///
-    /// Fails if the line has more than `max_bytes` bytes.
+    /// Fails if the line has more than `max_bytes` bytes, does not end with CRLF, or has
+    /// control characters other than tabs: a CR alone would be a line end to others.
     pub(crate) async fn read_line(&mut self, max_bytes: usize) -> Result<String> {
         let mut scanned = 0;
         loop {
@@ -207,6 +208,9 @@
                 let line = line.ok_or(Error::Malformed("line does not end with CRLF"))?;
                 let text = std::str::from_utf8(line)
                     .map_err(|_utf8_error| Error::Malformed("line is not valid UTF-8"))?;
+                if text.chars().any(|c| c.is_control() && c != '\t') {
+                    return Err(Error::Malformed("control character in a line"));
+                }
                 let text = text.to_owned();
                 self.consume(end + 1);
                 return Ok(text);
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -224,6 +224,18 @@
     text.trim_matches([' ', '\t'])
 }
 
+/// Checks a line of a trailer section, which is discarded.
+///
+/// A line that is no header may belong to the next message of a peer that sends no
+/// trailer section.
+pub(crate) fn check_trailer(line: &str) -> Result<()> {
+    let mut lines = [httparse::EMPTY_HEADER];
+    match httparse::parse_headers(format!("{line}\r\n\r\n").as_bytes(), &mut lines) {
+        Ok(httparse::Status::Complete(_)) => Ok(()),
+        _ => Err(Error::Malformed("trailer is not a header")),
+    }
+}
+
 /// Returns the framing that the headers declare, or `None` if they declare none.
 ///
 /// Messages whose length two implementations could interpret differently are refused
--- a/crates/h1/tests/framing.rs
+++ b/crates/h1/tests/framing.rs
@@ -167,6 +167,20 @@
 #[case::empty("content-length:\r\n\r\nbody")]
 #[case::folded("content-length:\r\n 4\r\n\r\nbody")]
 #[case::space_before_colon("content-length : 4\r\n\r\nbody")]
+#[case::chunk_size_in_other_line("transfer-encoding: chunked\r\n\r\n4\nbody\r\n0\r\n\r\n")]
+#[case::chunk_size_with_carriage_return(
+    "transfer-encoding: chunked\r\n\r\n4\r;x\r\nbody\r\n0\r\n\r\n"
+)]
+#[case::chunk_size_with_form_feed("transfer-encoding: chunked\r\n\r\n4\u{c}\r\nbody\r\n0\r\n\r\n")]
+#[case::chunk_size_with_prefix("transfer-encoding: chunked\r\n\r\n0x4\r\nbody\r\n0\r\n\r\n")]
+#[case::chunk_size_with_space("transfer-encoding: chunked\r\n\r\n 4\r\nbody\r\n0\r\n\r\n")]
+#[case::extension_with_carriage_return(
+    "transfer-encoding: chunked\r\n\r\n4;x\r5\r\nbody\r\n0\r\n\r\n"
+)]
+#[case::chunk_end("transfer-encoding: chunked\r\n\r\n4\r\nbody\n0\r\n\r\n")]
+#[case::trailer_with_other_line_end("transfer-encoding: chunked\r\n\r\n0\r\nt: 1\n\r\n")]
+#[case::trailer_with_carriage_return("transfer-encoding: chunked\r\n\r\n0\r\nt: 1\ru: 2\r\n\r\n")]
+#[case::trailer_that_is_a_request("transfer-encoding: chunked\r\n\r\n0\r\nGET /b HTTP/1.1\r\n\r\n")]
 fn message_with_ambiguous_length_is_an_error(#[case] rest: &str) {
     let request = format!("POST /a HTTP/1.1\r\nhost: t\r\n{rest}");
     let read = read_request(request.as_bytes(), &[]);
