Fence keys whose owners may have gone back with the store

Callers saw: requests served by two holders of a key.

Cause: a new leader believed the copy's row of owners, unless it remembered newer ones, and renewed its grants under their old epochs. The same belief had two more sources: owners that hosts had been told of, which may lack the last moves of a lost leader, and a row of owners that can't be read, which passed for a service that never had any.

Fix: terms and epochs tell the era in which they were issued. A lease's row or a row of owners of an earlier era, of a lower term or epoch than is known, or that can't be read, is not believed. The host waits until a lease of that time has ended, takes it, grants nothing until every grant has lapsed that may be in force, and then grants each range under a new epoch. That time stands in the lease's row for the next leader. No upstream has to be known for its grant to lapse, so that it makes no difference who forgot, which rows the copy lacks and which upstreams have joined.

--- a/crates/front/src/leader.rs
+++ b/crates/front/src/leader.rs
@@ -2,6 +2,7 @@
 
 mod evacuation;
 mod lease;
+mod restore;
 
 use self::evacuation::EvacuationLog;
 use crate::adapter::{FrontSettings, SharedBounds, UserPlatform};
@@ -17,7 +18,7 @@
 use async_std::future::timeout;
 use grant::{
     CallReply, GrantCall, GrantLedger, GrantTiming, Holder, LeaderLease, LeaseRow, OwnerCandidate,
-    OwnerMap,
+    OwnerMap, RestoreGuard,
 };
 use indexmap::IndexMap;
 use kernel::{Clock, Moment, ServiceName, TaskScope};
@@ -126,6 +127,12 @@
     holder_paces: HolderPaces,
     /// Era of the store at the last read of the lease.
     row_era: Option<StoreEra>,
+    restore_guard: RestoreGuard,
+    /// The greatest term in which this run has led.
+    led_term: u64,
+    /// Time until which keys of services without owners may be held by upstreams that no
+    /// row names.
+    fenced_until: Moment,
     /// Owners of the ledgers that this host last removed.
     last_owners: IndexMap<ServiceName, OwnerMap>,
 }
@@ -164,6 +171,9 @@
             evacuation_log: EvacuationLog::default(),
             holder_paces: HolderPaces::default(),
             row_era: None,
+            restore_guard: RestoreGuard::default(),
+            led_term: 0,
+            fenced_until: Moment::ZERO,
             last_owners: IndexMap::new(),
             context,
         }
@@ -339,10 +349,11 @@
             }
             let loads = self.context.peers.loads(&service);
             let term = self.row.as_ref().map_or(0, |row| row.term);
-            let ledger = self
-                .ledgers
-                .entry(service.clone())
-                .or_insert_with(|| GrantLedger::new(self.timing, term));
+            let ledger = self.ledgers.entry(service.clone()).or_insert_with(|| {
+                let mut ledger = GrantLedger::new(self.timing, term);
+                ledger.fence(self.fenced_until);
+                ledger
+            });
             let step = ledger.step(now, &candidates, &loads);
             let counts = ledger.evacuation_counts(&candidates);
             self.evacuation_log
--- a/crates/front/src/leader/lease.rs
+++ b/crates/front/src/leader/lease.rs
@@ -3,9 +3,8 @@
 use super::{LeaderLoop, TICK_INTERVAL, YIELD_TIMEOUT};
 use crate::adapter::is_strong;
 use crate::peers::LeaseAtStart;
-use crate::replica::decode_owner_row;
 use async_std::future::timeout;
-use grant::{GrantLedger, GrantTiming, LeaseClaimant, LeaseRow, OwnerMap, PreviousTerm};
+use grant::{GrantTiming, LeaseClaimant, LeaseRow, OwnerMap, PreviousTerm, RestoreGuard};
 use kernel::{Moment, ServiceName};
 use log::{info, warn};
 use std::sync::Arc;
@@ -106,17 +105,19 @@
             return;
         }
         let store_now = self.store_now_ms;
-        let claimant = LeaseClaimant {
-            host: &self.context.settings.name,
-            address: &self.address,
-            run: self.run_id,
-        };
+        let claimant = self.claimant();
         let row = self.row.as_ref();
-        let is_own_lease =
-            row.is_some_and(|row| row.belongs_to(&claimant) && self.yielded_term != Some(row.term));
+        let is_current = self.restore_guard.is_lease_current(row, self.known_term());
+        if !is_current && self.now() < self.restore_guard.earlier_lease_end(&self.timing) {
+            return;
+        }
+        let is_own_lease = is_current
+            && row.is_some_and(|row| {
+                row.belongs_to(&claimant) && self.yielded_term != Some(row.term)
+            });
         let own_name = &self.context.settings.name;
         let is_successor =
-            row.is_some_and(|row| self.context.peers.may_succeed(row.term, own_name));
+            is_current && row.is_some_and(|row| self.context.peers.may_succeed(row.term, own_name));
         let is_available =
             is_successor || row.is_none_or(|row| row.is_available_to(&claimant, store_now));
         // A weak host leaves the lease to a strong one that polls in time.
@@ -129,10 +130,23 @@
         if is_own_lease
             || (is_available && !must_defer && self.context.replica.has_sheet_and_entries())
         {
-            self.acquire_lease(is_own_lease).await;
+            self.acquire_lease(is_own_lease, is_current).await;
+        }
+    }
+
+    fn claimant(&self) -> LeaseClaimant<'_> {
+        LeaseClaimant {
+            host: &self.context.settings.name,
+            address: &self.address,
+            run: self.run_id,
         }
     }
 
+    /// Returns the greatest term that some leader is known to have taken.
+    fn known_term(&self) -> u64 {
+        self.context.peers.told_term().max(self.led_term)
+    }
+
     async fn read_lease_row(&mut self) -> bool {
         let sent_at = self.now();
         let table = self.context.platform.tables().leader_lease.clone();
@@ -158,10 +172,12 @@
         self.row_version = found.map_or(0, |row| row.version);
         self.row = found.and_then(decode_lease_row);
         self.row_era = page.era;
+        let era = page.era.map_or(0, |era| era.0);
+        self.restore_guard.record_era(self.now(), era);
         let row_term = self.row.as_ref().map_or(0, |row| row.term);
         self.context.peers.update_term_floor(|floor| {
             floor.record_term(row_term);
-            floor.record_era(page.era.map_or(0, |era| era.0));
+            floor.record_era(era);
         });
         let lease_at_start = match &self.row {
             None => LeaseAtStart::Absent,
@@ -170,7 +186,7 @@
         };
         self.context.peers.record_lease_at_start(lease_at_start);
         // A row that has gone back names an earlier leader.
-        if row_term >= self.context.peers.told_term() {
+        if row_term >= self.known_term() {
             let leader = self.row.as_ref().and_then(|row| row.address.parse().ok());
             self.context.peers.set_leader(leader);
         }
@@ -185,19 +201,21 @@
     }
 
     /// Writes the lease and loads the owners; `is_own_lease` says whether this run
-    /// held it before.
-    async fn acquire_lease(&mut self, is_own_lease: bool) {
+    /// held it before, and `is_current` whether its row tells of the last leader.
+    async fn acquire_lease(&mut self, is_own_lease: bool, is_current: bool) {
         let previous_row = self.row.clone();
-        let previous = previous_row.as_ref().map_or_else(
-            || PreviousTerm {
+        let previous = match &previous_row {
+            // Whatever the row says, another leader may have ended after it.
+            _ if !is_current => PreviousTerm::default(),
+            None => PreviousTerm {
                 is_clean: true,
                 grants_valid_for: None,
             },
-            |row| {
+            Some(row) => {
                 let announced = self.context.peers.announced_end(row.term);
                 announced.unwrap_or_else(|| PreviousTerm::from(row))
-            },
-        );
+            }
+        };
         for map in self.context.dispatcher.state.view.load().owners.values() {
             self.context.peers.record_owners(map);
         }
@@ -211,6 +229,16 @@
             is_own_lease && has_ledgers && row.term == floor.greatest()
         });
         let term = continued_row.map_or_else(|| floor.next_term(), |row| row.term);
+        if continued_row.is_none() {
+            self.timing = GrantTiming::with_max_grant(self.context.bounds.load().longest_hold);
+            self.fenced_until = RestoreGuard::fence_end(
+                self.now(),
+                previous_row.as_ref(),
+                is_current,
+                self.store_now_ms,
+                &self.timing,
+            );
+        }
         if self.write_lease(term, Vec::new()).await.is_err() {
             return;
         }
@@ -219,7 +247,6 @@
             return;
         }
         self.clear_ledgers();
-        self.timing = GrantTiming::with_max_grant(self.context.bounds.load().longest_hold);
         let table = self.context.platform.tables().owners.clone();
         let response = timeout(STORE_TIMEOUT, self.context.store.list(&table)).await;
         let Ok(Ok(page)) = response else {
@@ -227,38 +254,17 @@
             self.release_lease();
             return;
         };
-        let now = self.now();
-        for row in &page.rows {
-            let service = ServiceName::from(row.key.as_str());
-            self.owner_versions.insert(service.clone(), row.version);
-            self.context.replica.apply_owner_row(row);
-            let Some(bytes) = &row.value else {
-                continue;
-            };
-            let Some(map) = decode_owner_row(&service, bytes) else {
-                continue;
-            };
-            self.context.peers.record_owners(&map);
-            let (map, has_gone_back) = self.newer_owners(&service, map);
-            let mut ledger = GrantLedger::new(self.timing, term);
-            ledger.adopt(now, map, previous);
-            if has_gone_back {
-                warn!(
-                    target: "lead",
-                    "state=owners_gone_back term={term} service={service} row={}", row.version,
-                );
-                ledger.raise_term(term);
-            }
-            self.ledgers.insert(service, ledger);
-        }
+        self.take_over_owners(&page, term, previous, is_current);
         // Makes the next update tell the new ledgers which holders have ended.
         self.addresses_version = 0;
         info!(
             target: "lead",
-            "state=taken term={term} clean={} held_for_ms={} services={}",
+            "state=taken term={term} clean={} held_for_ms={} services={} current={is_current} \
+             fenced_ms={}",
             previous.is_clean,
             previous.grants_valid_for.map_or(-1, |duration| duration.as_millis() as i64),
             self.ledgers.len(),
+            (self.fenced_until - self.now()).as_millis(),
         );
         self.context.report_channel.announce(term).await;
     }
@@ -268,6 +274,30 @@
         &mut self,
         term: u64,
         owners: Vec<(ServiceName, OwnerMap)>,
+    ) -> Result<(), WriteError> {
+        let sent_at = self.now();
+        let outcome = self.try_write_lease(term, owners).await;
+        let Err(error) = &outcome else {
+            return outcome;
+        };
+        warn!(target: "lead", "state=write_failed term={term} error=\"{error}\"");
+        if *error != WriteError::Conflict {
+            self.store_failing_since.get_or_insert(sent_at);
+            self.context.peers.set_feed_live(false);
+            return outcome;
+        }
+        // Another host has written the rows, so all local state is out of date.
+        self.release_lease();
+        self.context.peers.set_leading(None, &[]);
+        self.clear_ledgers();
+        outcome
+    }
+
+    /// Writes the lease once; see [`Self::write_lease`].
+    async fn try_write_lease(
+        &mut self,
+        term: u64,
+        owners: Vec<(ServiceName, OwnerMap)>,
     ) -> Result<(), WriteError> {
         let sent_at = self.now();
         let Some(expires_ms) = self.lease.expiry_ms(sent_at, self.timing.leader_lease) else {
@@ -300,83 +330,49 @@
             }
             other => other,
         };
-        match outcome {
-            Ok(receipt) => {
-                self.lease
-                    .record_acquired(sent_at, self.timing.leader_lease);
-                if receipt.store_now_ms > 0 {
-                    self.lease.record_store_time(sent_at, receipt.store_now_ms);
-                }
-                self.row_version = receipt.version;
-                self.written_version = receipt.version;
-                let era = receipt.era.map_or(0, |era| era.0);
-                let peers = &self.context.peers;
-                peers.update_term_floor(|floor| floor.record_era(era));
-                self.context.peers.set_leader(row.address.parse().ok());
-                let budgets = &self.context.dispatcher.state.budgets;
-                budgets.set_host_count(row.hosts);
-                self.context
-                    .peers
-                    .set_leading(Some(row.term), &row.standbys);
-                self.row = Some(row);
-                let has_owner_changes = !values.is_empty();
-                for (service, value) in values {
-                    self.owner_versions.insert(service.clone(), receipt.version);
-                    self.context.replica.apply_owner_row(&TableRow {
-                        key: service.as_str().to_owned(),
-                        value: Some(value),
-                        version: receipt.version,
-                    });
-                }
-                self.store_failing_since = None;
-                self.set_extended(false);
-                if has_owner_changes {
-                    self.context.report_channel.announce(term).await;
-                }
-                Ok(())
-            }
-            Err(error) => {
-                warn!(target: "lead", "state=write_failed term={term} error=\"{error}\"");
-                if error == WriteError::Conflict {
-                    // Another host has written the rows, so all local state is out of
-                    // date.
-                    self.release_lease();
-                    self.context.peers.set_leading(None, &[]);
-                    self.clear_ledgers();
-                } else {
-                    self.store_failing_since.get_or_insert(sent_at);
-                    self.context.peers.set_feed_live(false);
-                }
-                Err(error)
-            }
+        let receipt = outcome?;
+        self.lease
+            .record_acquired(sent_at, self.timing.leader_lease);
+        if receipt.store_now_ms > 0 {
+            self.lease.record_store_time(sent_at, receipt.store_now_ms);
         }
+        self.row_version = receipt.version;
+        self.written_version = receipt.version;
+        self.led_term = self.led_term.max(term);
+        let era = receipt.era.map_or(0, |era| era.0);
+        let peers = &self.context.peers;
+        peers.update_term_floor(|floor| floor.record_era(era));
+        self.context.peers.set_leader(row.address.parse().ok());
+        let budgets = &self.context.dispatcher.state.budgets;
+        budgets.set_host_count(row.hosts);
+        self.context
+            .peers
+            .set_leading(Some(row.term), &row.standbys);
+        self.row = Some(row);
+        let has_owner_changes = !values.is_empty();
+        for (service, value) in values {
+            self.owner_versions.insert(service.clone(), receipt.version);
+            self.context.replica.apply_owner_row(&TableRow {
+                key: service.as_str().to_owned(),
+                value: Some(value),
+                version: receipt.version,
+            });
+        }
+        self.store_failing_since = None;
+        self.set_extended(false);
+        if has_owner_changes {
+            self.context.report_channel.announce(term).await;
+        }
+        Ok(())
     }
 
     /// Removes the ledgers, and keeps their owners in case the store's go back.
-    fn clear_ledgers(&mut self) {
+    pub(super) fn clear_ledgers(&mut self) {
         for (service, ledger) in self.ledgers.drain(..) {
             self.last_owners.insert(service, ledger.map().clone());
         }
     }
 
-    /// Returns the owners in a row of the store, or newer ones that this host knows; and
-    /// whether the row has gone back.
-    fn newer_owners(&self, service: &ServiceName, row: OwnerMap) -> (OwnerMap, bool) {
-        let view = self.context.dispatcher.state.view.load();
-        let led = self.last_owners.get(service);
-        let told = view.owners.get(service);
-        // The owners that this host wrote last tell the previous holders as well.
-        let newest = match (led, told) {
-            (Some(led), Some(told)) if led.greatest_epoch() < told.greatest_epoch() => Some(told),
-            (Some(led), _) => Some(led),
-            (None, told) => told,
-        };
-        match newest {
-            Some(known) => row.or_newer(known),
-            None => (row, false),
-        }
-    }
-
     /// Leads in a later term if a greater one than this host's is known; returns `false`
     /// if the lease could not be written.
     ///
@@ -464,6 +460,7 @@
             held_for_ms: previous
                 .grants_valid_for
                 .map(|duration| duration.as_millis() as u64),
+            fenced_until_ms: self.fenced_until_ms(),
             hosts,
             strong_hosts,
             standbys: standbys.collect(),
--- a/crates/grant/src/floor.rs
+++ b/crates/grant/src/floor.rs
@@ -16,6 +16,11 @@
     epoch >> EPOCH_COUNTER_BITS
 }
 
+/// Returns the store's era in which a term was taken; 0 if the store told none.
+pub(crate) const fn era_of(term: u64) -> u64 {
+    term >> TERM_COUNTER_BITS
+}
+
 /// The greatest term that a host knows of.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TermFloor {
--- a/crates/grant/src/lease.rs
+++ b/crates/grant/src/lease.rs
@@ -23,6 +23,10 @@
     /// milliseconds; unknown while it holds the lease.
     #[serde(default)]
     pub held_for_ms: Option<u64>,
+    /// Time on the store's clock until which keys may be held by upstreams that no row
+    /// names, in milliseconds; `None` if there are no such grants.
+    #[serde(default)]
+    pub fenced_until_ms: Option<u64>,
     /// Number of hosts that the leader considers live.
     pub hosts: u32,
     /// Number of these hosts that are strong enough to lead without waiting for others.
--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -4,7 +4,7 @@
 use crate::balance::{OwnerCandidate, assign_orphans, max_moves, merge_adjacent_ranges, rebalance};
 use crate::call_limit::CallLimit;
 use crate::evacuation::{EvacuatedHolders, move_ranges};
-use crate::{GrantTiming, Holder, KeyLoads, OwnedRange, OwnerMap, PreviousTerm};
+use crate::{FoundOwners, GrantTiming, Holder, KeyLoads, OwnedRange, OwnerMap, PreviousTerm};
 use evac::next_moves;
 use indexmap::{IndexMap, IndexSet};
 use kernel::Moment;
@@ -151,6 +151,8 @@
     call_limit: CallLimit,
     is_extended: bool,
     rebalanced_at: Moment,
+    /// Time until which unknown upstreams may hold keys, so that none are granted.
+    fenced_until: Moment,
 }
 
 impl GrantLedger {
@@ -168,6 +170,40 @@
             call_limit: CallLimit::new(),
             is_extended: false,
             rebalanced_at: Moment::ZERO,
+            fenced_until: Moment::ZERO,
+        }
+    }
+
+    /// Grants no keys until `until`, as upstreams that this leader does not know of may
+    /// hold them.
+    pub fn fence(&mut self, until: Moment) {
+        self.fenced_until = self.fenced_until.max(until);
+    }
+
+    /// Returns for how much longer no keys are granted.
+    pub fn fence_remaining(&self, now: Moment) -> Duration {
+        self.fenced_until - now
+    }
+
+    /// Starts from the owners that were found when the leader took its lease; those that
+    /// may have gone back are assigned again once all earlier grants have lapsed.
+    pub fn take_over(&mut self, now: Moment, found: FoundOwners, previous: PreviousTerm) {
+        match found {
+            FoundOwners::Current(map) => self.adopt(now, map, previous),
+            FoundOwners::Outdated {
+                latest,
+                fenced_until,
+            } => {
+                self.fence(fenced_until);
+                self.last_epoch = self.last_epoch.max(latest.greatest_epoch());
+                // Without a state, each range is granted under a new epoch. By then no
+                // other upstream holds it any more.
+                self.map = latest;
+                for range in &mut self.map.ranges {
+                    range.is_granted = false;
+                    range.previous_holders.clear();
+                }
+            }
         }
     }
 
@@ -179,8 +215,7 @@
     pub fn adopt(&mut self, now: Moment, map: OwnerMap, previous: PreviousTerm) {
         self.last_epoch = self.last_epoch.max(map.greatest_epoch());
         // Calls of the previous leader may have been in transit for a while.
-        let max_validity = self.timing.call_timeout
-            + GrantTiming::expiry_bound(self.timing.extended_grant_duration);
+        let max_validity = self.timing.max_validity();
         let grants_valid_until = now
             + previous
                 .grants_valid_for
@@ -227,13 +262,15 @@
     /// Returns whether every grant and release has been answered.
     pub fn is_clean(&self, now: Moment) -> bool {
         let is_answered = |state: &HolderState| state.unanswered_until <= now;
-        self.pending_calls.is_empty() && self.holders.values().all(is_answered)
+        self.fenced_until <= now
+            && self.pending_calls.is_empty()
+            && self.holders.values().all(is_answered)
     }
 
     /// Returns how long from `now` the grants of this ledger may be in force if no more
     /// are sent.
     pub fn grants_valid_for(&self, now: Moment) -> Duration {
-        let mut until = now;
+        let mut until = now.max(self.fenced_until);
         for state in self.holders.values() {
             until = until.max(state.grants_valid_until);
         }
@@ -266,6 +303,9 @@
         candidates: &[OwnerCandidate],
         loads: &KeyLoads,
     ) -> LedgerStep {
+        if now < self.fenced_until {
+            return LedgerStep::default();
+        }
         let reachable_candidates = self.reachable_candidates(candidates);
         LedgerStep {
             commit: self.plan_commit(now, &reachable_candidates, loads),
@@ -277,6 +317,9 @@
     /// go on in this way while a write of the row is under way.
     pub fn next_calls(&mut self, now: Moment, candidates: &[OwnerCandidate]) -> Vec<GrantCall> {
         let mut calls = Vec::new();
+        if now < self.fenced_until {
+            return calls;
+        }
         for index in self.due_ranges(now) {
             if let Some(call) = self.next_call_for(now, index) {
                 calls.push(call);
@@ -521,8 +564,7 @@
 
     /// Removes previous grants of the owners that cannot be in force any more.
     fn clear_lapsed_holders(&self, now: Moment, planned: &mut OwnerMap) {
-        let max_validity = self.timing.call_timeout
-            + GrantTiming::expiry_bound(self.timing.extended_grant_duration);
+        let max_validity = self.timing.max_validity();
         for range in &mut planned.ranges {
             let key = (range.first, range.last, range.epoch);
             let granted_at = self
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -31,6 +31,7 @@
 mod ledger;
 mod loads;
 mod map;
+mod restore;
 mod timing;
 mod wire;
 
@@ -40,6 +41,7 @@
 pub use ledger::{CallKind, CallReply, GrantCall, GrantLedger, LedgerStep};
 pub use loads::{KeyCounts, KeyLoads};
 pub use map::{Holder, OwnedRange, OwnerMap};
+pub use restore::{FoundOwners, RestoreGuard};
 pub use timing::GrantTiming;
 pub use wire::{OwnerRowError, WireOwners};
 
--- a/crates/grant/src/map.rs
+++ b/crates/grant/src/map.rs
@@ -84,30 +84,6 @@
         epochs.max().unwrap_or(0)
     }
 
-    /// Returns these owners, as read from the store, or the `known` ones if these have gone
-    /// back; and whether they have.
-    ///
-    /// The holders of the row count as previous holders then, as the known owners may lack
-    /// some that have not released their keys.
-    pub fn or_newer(self, known: &Self) -> (Self, bool) {
-        if known.greatest_epoch() <= self.greatest_epoch() || !known.is_complete() {
-            return (self, false);
-        }
-        let mut newer = known.clone();
-        for range in newer.ranges.iter_mut().filter(|range| !range.is_granted) {
-            let overlaps = |row: &&OwnedRange| row.first <= range.last && range.first <= row.last;
-            let row_ranges = self.ranges.iter().filter(overlaps);
-            for (holder, epoch) in row_ranges.flat_map(OwnedRange::possible_holders) {
-                let previous = &mut range.previous_holders;
-                let is_known = previous.iter().any(|(known, _)| *known == holder);
-                if !is_known && range.owner.as_ref() != Some(&holder) {
-                    previous.push((holder, epoch));
-                }
-            }
-        }
-        (newer, true)
-    }
-
     /// Removes the previous holders, which only the leader needs to know.
     pub fn clear_previous_holders(&mut self) {
         for range in &mut self.ranges {
--- a/crates/grant/src/timing.rs
+++ b/crates/grant/src/timing.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Returns how long any grant of a leader may be in force after its lease has ended.
+    pub fn max_validity(&self) -> Duration {
+        self.call_timeout + Self::expiry_bound(self.extended_grant_duration)
+    }
+
     /// Returns how long a grant of `duration` may be in force after it was sent, if it
     /// is delivered within the usual time.
     pub fn expiry_bound(duration: Duration) -> Duration {
--- a/crates/grant/tests/balance.rs
+++ b/crates/grant/tests/balance.rs
@@ -318,6 +318,7 @@
         expires_ms,
         is_clean: false,
         held_for_ms: None,
+        fenced_until_ms: None,
         hosts: 2,
         strong_hosts: 2,
         standbys: Vec::new(),
