Lead on across a restore of the store with the owners that the leader knows

Cause: the leader's next write met another version, so that it removed its ledgers and started from the rows of the store. It compared the owners that it remembered only with rows that exist; for a service without a row it started with an empty ledger, which waits for nobody.

Fix: before a leader gives up after such a write, it reads the lease. If its own is still valid then, and no later term stands there, no other host can have led: it takes the lease anew in a later term, with the owners of all its ledgers in one transaction, and keeps the ledgers. Otherwise it ends, and the next leader fences the keys.

--- a/crates/front/src/leader/lease.rs
+++ b/crates/front/src/leader/lease.rs
@@ -55,7 +55,7 @@
 /// Most upstreams reply within a tenth of it.
 const FINAL_REPLY_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout of the store calls that the lease depends on.
-const STORE_TIMEOUT: Duration = Duration::from_millis(600);
+pub(super) const STORE_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// A range of poll delays.
 struct PollDelays {
@@ -134,7 +134,7 @@
         }
     }
 
-    fn claimant(&self) -> LeaseClaimant<'_> {
+    pub(super) fn claimant(&self) -> LeaseClaimant<'_> {
         LeaseClaimant {
             host: &self.context.settings.name,
             address: &self.address,
@@ -147,7 +147,7 @@
         self.context.peers.told_term().max(self.led_term)
     }
 
-    async fn read_lease_row(&mut self) -> bool {
+    pub(super) async fn read_lease_row(&mut self) -> bool {
         let sent_at = self.now();
         let table = self.context.platform.tables().leader_lease.clone();
         let store = Arc::clone(&self.context.store);
@@ -270,6 +270,9 @@
     }
 
     /// Writes the lease with a new expiry, in one transaction with rows of owners.
+    ///
+    /// After an error, this host may lead on: if the rows have gone back, the lease has
+    /// been taken anew, in a later term, without the `owners`.
     pub(super) async fn write_lease(
         &mut self,
         term: u64,
@@ -286,15 +289,17 @@
             self.context.peers.set_feed_live(false);
             return outcome;
         }
-        // Another host has written the rows, so all local state is out of date.
-        self.release_lease();
-        self.context.peers.set_leading(None, &[]);
-        self.clear_ledgers();
+        if !self.resume_after_restore().await {
+            // Another host has written the rows, so all local state is out of date.
+            self.release_lease();
+            self.context.peers.set_leading(None, &[]);
+            self.clear_ledgers();
+        }
         outcome
     }
 
     /// Writes the lease once; see [`Self::write_lease`].
-    async fn try_write_lease(
+    pub(super) async fn try_write_lease(
         &mut self,
         term: u64,
         owners: Vec<(ServiceName, OwnerMap)>,
--- a/crates/front/src/leader/restore.rs
+++ b/crates/front/src/leader/restore.rs
@@ -1,12 +1,15 @@
 //! Leading across a restore of the store from a copy, whose rows have gone back.
 
-use super::LeaderLoop;
+use super::lease::STORE_TIMEOUT;
+use super::{LeaderLoop, WRITE_RETRY_DELAY};
 use crate::replica::decode_owner_row;
-use grant::{FoundOwners, GrantLedger, OwnerMap, PreviousTerm};
+use async_std::future::timeout;
+use grant::{FoundOwners, GrantLedger, OwnerMap, PreviousTerm, RestoreGuard};
 use indexmap::IndexMap;
 use kernel::ServiceName;
-use log::warn;
-use store::RowPage;
+use log::{info, warn};
+use std::sync::Arc;
+use store::{RowPage, WriteError};
 
 impl LeaderLoop {
     /// Starts a ledger for each service that has owners in the store, or of whose owners
@@ -86,4 +89,60 @@
         }
         self.lease.expiry_ms(now, self.fenced_until - now)
     }
+
+    /// Takes the lease anew, with the owners that this leader knows, after a write that met
+    /// rows which have gone back; returns whether this host still leads.
+    ///
+    /// While its lease is valid, no other host can have granted keys: what it knows of the
+    /// owners is newer than any row.
+    pub(super) async fn resume_after_restore(&mut self) -> bool {
+        let own_term = self.led_term;
+        while self.lease.is_valid(self.now()) {
+            match self.try_resume(own_term).await {
+                Ok(true) => return true,
+                Ok(false) => return false,
+                Err(error) => {
+                    warn!(target: "lead", "state=resume_failed term={own_term} error=\"{error}\"");
+                }
+            }
+            let delay = async_std::task::sleep(WRITE_RETRY_DELAY);
+            self.renew_during(delay).await;
+        }
+        false
+    }
+
+    /// Returns `false` if another host has taken the lease, or may have.
+    async fn try_resume(&mut self, own_term: u64) -> Result<bool, WriteError> {
+        if !self.read_lease_row().await {
+            return Err(WriteError::Unknown("the lease was not read".to_owned()));
+        }
+        let row = self.row.as_ref();
+        if !self.lease.is_valid(self.now())
+            || !RestoreGuard::may_resume(row, own_term, &self.claimant())
+        {
+            return Ok(false);
+        }
+        let table = self.context.platform.tables().owners.clone();
+        let store = Arc::clone(&self.context.store);
+        let reading = timeout(STORE_TIMEOUT, store.list(&table));
+        let Ok(Ok(page)) = self.renew_during(reading).await else {
+            return Err(WriteError::Unknown("the owners were not read".to_owned()));
+        };
+        let versions = page.rows.iter();
+        let versions = versions.map(|row| (ServiceName::from(row.key.as_str()), row.version));
+        self.owner_versions = versions.collect();
+        let ledgers = self.ledgers.iter();
+        let complete = ledgers.filter(|(_, ledger)| ledger.map().is_complete());
+        let owners = complete.map(|(service, ledger)| (service.clone(), ledger.map().clone()));
+        let owners = owners.collect();
+        let term = self.context.peers.term_floor().next_term();
+        self.try_write_lease(term, owners).await?;
+        for ledger in self.ledgers.values_mut() {
+            ledger.raise_term(term);
+        }
+        self.context.metrics.term_raises.inc();
+        info!(target: "lead", "state=resumed term={term} earlier={own_term}");
+        self.context.report_channel.announce(term).await;
+        Ok(true)
+    }
 }
--- a/crates/grant/src/restore.rs
+++ b/crates/grant/src/restore.rs
@@ -5,7 +5,7 @@
 //! the time before the restore may still hold its lease.
 
 use crate::floor::era_of;
-use crate::{GrantTiming, LeaseRow, OwnerMap, term_of};
+use crate::{GrantTiming, LeaseClaimant, LeaseRow, OwnerMap, term_of};
 use kernel::Moment;
 use std::time::Duration;
 
@@ -71,6 +71,13 @@
         since + with_clock_lag(timing.leader_lease)
     }
 
+    /// Returns whether a leader whose write met another version may go on with what it
+    /// knows. Its lease must have been valid when the row was read: then no other host
+    /// has led since it was taken, unless the row says so.
+    pub fn may_resume(row: Option<&LeaseRow>, own_term: u64, claimant: &LeaseClaimant<'_>) -> bool {
+        row.is_none_or(|row| row.term < own_term || row.belongs_to(claimant))
+    }
+
     /// Returns until when upstreams may hold keys of which a new leader does not know,
     /// other than by a row of owners that has gone back.
     ///
