Refuse requests that a stopping host could not answer

Cause: until the load balancer has noticed a stop, requests were passed on whatever time their answers were expected to take. The host then ended before them.

Fix: once a stop has begun, a request is passed on only if its answer is expected within half of the time left. Others are refused at once as not run, so that their clients reach another host. Waits for keys and cold upstreams end with the host's time as well.

--- a/crates/front/src/client_connection.rs
+++ b/crates/front/src/client_connection.rs
@@ -9,6 +9,7 @@
 use crate::answer::{UpstreamAnswer, encode_answer_head, encode_refusal};
 use crate::client_reader::{ReadOutcome, ReadRequest, read_request};
 use crate::clients::{ClientServer, InFlightGuard};
+use crate::stop_limit::STOPPING_RETRY_AFTER;
 use async_std::future::timeout;
 use async_std::net::TcpStream;
 use futures::AsyncWriteExt;
@@ -36,9 +37,6 @@
 /// Time after which a client should retry whose body found no memory; most requests that
 /// hold some are answered within it.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(400);
-/// Time after which a client should retry that a stopping host refused; the load
-/// balancer connects it to another host.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// A request's result, ready to be written.
 struct FinishedRequest {
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::rank_shares::RankShares;
 use crate::relay_client::{AttemptFacts, RelayClient};
 use crate::request::{ClientRequest, ResolvedRequest};
+use crate::stop_limit::StopLimit;
 use crate::view::{FrontView, SharedView};
 use cold::HeldToken;
 use fleet::{KnownUpstream, Presence, UpstreamEntry};
@@ -75,6 +76,7 @@
     pub relay: Option<RelayClient>,
     /// Admission by shares of ranks, if it is enabled.
     pub rank_shares: Option<RankShares>,
+    pub stop_limit: StopLimit,
 }
 
 impl DispatchState {
@@ -292,6 +294,9 @@
             if is_client_gone.load(Ordering::Relaxed) {
                 return Err(Cause::RequestTimeout.into());
             }
+            if let Some(refusal) = state.stop_limit.refusal(now, Duration::ZERO) {
+                return Err(refusal);
+            }
             self.check_quarantine(now, request)?;
             let (entry, expected, token) = match self.find_target(now, request, history) {
                 DispatchTarget::Send(entry, expected) => (entry, expected, None),
@@ -314,6 +319,12 @@
                     continue;
                 }
             };
+            if let Some(refusal) = state.stop_limit.refusal(state.clock.now(), expected) {
+                if let Some(token) = token {
+                    state.cold.put_back(token);
+                }
+                return Err(refusal);
+            }
             if history.sends == 0 {
                 state.budgets.record_first_attempt(&request.service);
             } else if !state.budgets.try_spend(&request.service) {
@@ -498,10 +509,9 @@
         }
     }
 
-    fn selection_limits(now: Moment, request: &ResolvedRequest) -> SelectionLimits {
+    fn selection_limits(&self, now: Moment, request: &ResolvedRequest) -> SelectionLimits {
         let rule = request.route.rule();
         let elapsed = now - request.received_at;
-        let remaining = request.deadline - now;
         let target_left = rule
             .target_latency
             .mul_f64(TARGET_LATENCY_FRACTION)
@@ -512,7 +522,7 @@
         };
         SelectionLimits {
             target_left,
-            time_left: remaining,
+            time_left: self.state.stop_limit.time_left(now, request.deadline),
             cross_domain_cost: rule.target_latency.mul_f64(cost_fraction),
         }
     }
@@ -642,7 +652,7 @@
         candidates: &[UpstreamCandidate],
         view: &FrontView,
     ) -> DispatchTarget {
-        let limits = Self::selection_limits(now, request);
+        let limits = self.selection_limits(now, request);
         let mut selector = self.state.selector.lock();
         let own_share = |share| match &self.state.rank_shares {
             Some(rank_shares) => rank_shares.upstream_share(now, request, share),
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -24,6 +24,7 @@
 use crate::replica::{FollowedTable, StoreReplica};
 use crate::reports::ReportChannel;
 use crate::send_budget::SendBudget;
+use crate::stop_limit::StopLimit;
 use crate::view::SharedView;
 use arc_swap::ArcSwap;
 use async_std::net::{TcpListener, UdpSocket};
@@ -272,6 +273,7 @@
                 cold: Arc::clone(&self.cold),
                 relay: self.build_relay_client(options.relay),
                 rank_shares,
+                stop_limit: StopLimit::default(),
             }),
         })
     }
@@ -513,14 +515,16 @@
             relay.stop();
         }
         let max_duration = self.bounds.load().stop.mul_f64(STOP_FRACTION);
+        let close_duration = MAX_CLOSE_DURATION.min(max_duration / 4);
+        let answer_duration = max_duration.saturating_sub(close_duration);
+        let state = &self.dispatcher.state;
+        state.stop_limit.begin(state.clock.now() + answer_duration);
         let notice_duration = BALANCER_NOTICE_DURATION.min(max_duration / 2);
         let started_at = Instant::now();
         let stop_at = started_at + max_duration;
         async_std::task::sleep(notice_duration).await;
         self.clients.close();
-        let close_duration = MAX_CLOSE_DURATION.min(max_duration / 4);
-        self.wait_until_answered(started_at + max_duration.saturating_sub(close_duration))
-            .await;
+        self.wait_until_answered(started_at + answer_duration).await;
         self.clients.stop_accepting();
         while self.listener.strong_count() > 0 && Instant::now() < stop_at {
             async_std::task::sleep(LISTENER_POLL_INTERVAL).await;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -53,6 +53,7 @@
 mod request;
 mod send_budget;
 mod sending;
+mod stop_limit;
 mod view;
 mod wire_cold;
 mod wire_load;
