Fence grants that arrive behind the release of their keys

Cause: a renewal of a killed leader was held up by the partition for longer than the next leader allows. The release bore the epoch of that grant, so that the upstream had seen no greater one and accepted it behind the release.

Fix: where a grant may still be under way when a release is answered, a second release follows under the new epoch, and the upstream refuses the old grant whenever it arrives. The first release stays as it was: the pages do not say that one ends grants of another epoch, and the simulation of the ledger assumes that it does not.

Evidence: the three cases of release_fences_grants_that_arrive_behind_it failed before.

--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -411,8 +411,9 @@
         if call.kind == CallKind::Probe {
             return;
         }
-        let has_call = |range_state: &&mut RangeState| range_state.pending_call == Some(id);
-        let Some(range_state) = self.range_states.values_mut().find(has_call) else {
+        let mut range_states = self.range_states.iter_mut();
+        let found = range_states.find(|(_, range_state)| range_state.pending_call == Some(id));
+        let Some((&(.., range_epoch), range_state)) = found else {
             return;
         };
         range_state.pending_call = None;
@@ -423,8 +424,21 @@
         range_state.due_at = now + RETRY_DELAY;
         match (reply, &mut range_state.phase) {
             (CallReply::Released(token), RangePhase::Releasing(holders, handover)) => {
-                holders.pop();
-                if token.is_some() {
+                let may_be_granted = holder_state.unanswered_until > now;
+                match holders.last_mut() {
+                    // A second release, under the new epoch, has the upstream refuse a grant
+                    // that arrives later than any bound on its delivery.
+                    Some((_, epoch)) if may_be_granted && *epoch < range_epoch => {
+                        *epoch = range_epoch;
+                        range_state.due_at = now;
+                        if handover.is_none() {
+                            *handover = token;
+                        }
+                        return;
+                    }
+                    _ => holders.pop(),
+                };
+                if token.is_some() && call.epoch < range_epoch {
                     *handover = token;
                 }
                 // A grant without an answer may still take effect.
