Grow retry budgets when the number of hosts becomes known

What callers saw: 502 answer-invalid for requests that may run twice, from a host that had just started, although another upstream would have answered.

Cause: before a leader has counted the hosts, a host assumed 40, and saved up 1.9 retries. Budgets that existed when the count came got the greater capacity, but kept their few retries, and grew by 0.12 a request.

Change: a budget grows by the difference when the count becomes known. A host without a count saves up one retry; the constant of 40 hosts is gone. New counter trestle_retries_denied_total, and a debug line with the number of hosts.

--- a/crates/front/src/budgets.rs
+++ b/crates/front/src/budgets.rs
@@ -10,8 +10,8 @@
 /// Fraction of the allowed retries that is used; the rest covers hosts that have just
 /// started or do not know the number of hosts yet.
 const USED_FRACTION: f64 = 0.6;
-/// Number of hosts that is assumed until it is known.
-const DEFAULT_HOST_COUNT: u32 = 40;
+/// Minimum number of retries that a host can save up, however many hosts there are.
+const MIN_CAPACITY: f64 = 1.0;
 
 /// Retry budgets by service.
 #[derive(Debug)]
@@ -33,10 +33,15 @@
 
     /// Sets the number of hosts that share the budget.
     pub(crate) fn set_host_count(&self, host_count: u32) {
-        self.host_count.store(host_count.max(1), Ordering::Relaxed);
+        let mut budgets = self.budgets.lock();
+        let previous = self.host_count.swap(host_count.max(1), Ordering::Relaxed);
         let capacity = self.capacity();
-        for budget in self.budgets.lock().values_mut() {
-            budget.set_capacity(capacity);
+        for budget in budgets.values_mut() {
+            if previous == 0 {
+                budget.raise_capacity(capacity);
+            } else {
+                budget.set_capacity(capacity);
+            }
         }
     }
 
@@ -60,8 +65,11 @@
     }
 
     fn capacity(&self) -> f64 {
-        let host_count = f64::from(self.host_count().unwrap_or(DEFAULT_HOST_COUNT));
-        (self.bounds.load().retry_extra * USED_FRACTION / host_count).max(1.0)
+        let Some(host_count) = self.host_count() else {
+            return MIN_CAPACITY;
+        };
+        let share = self.bounds.load().retry_extra * USED_FRACTION / f64::from(host_count);
+        share.max(MIN_CAPACITY)
     }
 
     fn with_budget<T>(
--- a/crates/front/src/dispatch.rs
+++ b/crates/front/src/dispatch.rs
@@ -325,15 +325,11 @@
                 }
                 return Err(refusal);
             }
-            if history.sends == 0 {
-                state.budgets.record_first_attempt(&request.service);
-            } else if !state.budgets.try_spend(&request.service) {
+            if !self.charge_attempt(request, history.sends) {
                 if let Some(token) = token {
                     state.cold.put_back(token);
                 }
                 return Err(Cause::Overloaded.into());
-            } else {
-                state.metrics.retries.inc();
             }
             history.sends += 1;
             let is_repeat = history.tried_upstreams.contains(&entry.id);
@@ -380,6 +376,27 @@
         }
     }
 
+    /// Charges the next attempt of a request that was sent so many times to the retry budget;
+    /// returns `false` if the budget is empty.
+    fn charge_attempt(&self, request: &ResolvedRequest, sends: u32) -> bool {
+        let state = &self.state;
+        if sends == 0 {
+            state.budgets.record_first_attempt(&request.service);
+            return true;
+        }
+        if state.budgets.try_spend(&request.service) {
+            state.metrics.retries.inc();
+            return true;
+        }
+        state.metrics.retries_denied.inc();
+        debug!(
+            target: "send",
+            "request={} service={} state=retry-denied hosts={}",
+            request.id, request.service, state.budgets.host_count().unwrap_or(0),
+        );
+        false
+    }
+
     async fn send(
         &self,
         request: &ResolvedRequest,
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -18,6 +18,8 @@
     latency: HistogramVec,
     /// Attempts after a request's first one.
     pub retries: IntCounter,
+    /// Retries for which the budget was empty.
+    pub retries_denied: IntCounter,
     /// Calls to the store, by call and table.
     pub store_calls: IntCounterVec,
     /// Failed calls to the store.
@@ -75,17 +77,13 @@
                 Ok(vector)
             };
         let latency = HistogramVec::new(
-            HistogramOpts::new("trestle_latency_seconds", "Time until the answer")
-                .buckets(LATENCY_BUCKETS.to_vec()),
+            duration_options("trestle_latency_seconds", "Time until the answer"),
             &["rank"],
         )?;
-        let fleet_load_age = Histogram::with_opts(
-            HistogramOpts::new(
-                "trestle_fleet_load_age_seconds",
-                "Age of the leader's loads",
-            )
-            .buckets(LATENCY_BUCKETS.to_vec()),
-        )?;
+        let fleet_load_age = Histogram::with_opts(duration_options(
+            "trestle_fleet_load_age_seconds",
+            "Age of the leader's loads",
+        ))?;
         registry.register(Box::new(latency.clone()))?;
         registry.register(Box::new(fleet_load_age.clone()))?;
         let counter = |name: &str, help: &str| -> prometheus::Result<IntCounter> {
@@ -106,6 +104,10 @@
             )?,
             latency,
             retries: counter("trestle_retries_total", "Sends after a request's first")?,
+            retries_denied: counter(
+                "trestle_retries_denied_total",
+                "Retries beyond the retry budget",
+            )?,
             store_calls: vector(
                 "trestle_store_calls_total",
                 "Calls to the platform's store",
@@ -199,3 +201,8 @@
         }
     }
 }
+
+/// Returns the options of a histogram of durations in seconds.
+fn duration_options(name: &str, help: &str) -> HistogramOpts {
+    HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec())
+}
--- a/crates/retry/src/budget.rs
+++ b/crates/retry/src/budget.rs
@@ -28,6 +28,14 @@
         self.tokens = self.tokens.min(capacity);
     }
 
+    /// Raises how many retries can be saved up, and saves as many more; retries that were
+    /// spent stay spent. A lower capacity changes nothing.
+    pub fn raise_capacity(&mut self, capacity: f64) {
+        let added = (capacity - self.capacity).max(0.0);
+        self.capacity += added;
+        self.tokens += added;
+    }
+
     /// Records a first attempt.
     pub fn record_first_attempt(&mut self) {
         self.tokens = (self.tokens + self.ratio).min(self.capacity);
--- a/crates/retry/tests/decisions.rs
+++ b/crates/retry/tests/decisions.rs
@@ -163,3 +163,25 @@
 fn fingerprint_distinguishes_parts() {
     assert_ne!(fingerprint(&[b"ab", b"c"]), fingerprint(&[b"a", b"bc"]));
 }
+
+/// What was spent before a budget's share was known is not saved up again.
+#[rstest]
+#[case::raised(1, 5.0, 4)]
+#[case::unspent(0, 5.0, 5)]
+#[case::lowered(0, 0.5, 1)]
+fn raise_capacity_saves_the_difference(
+    #[case] spent: u32,
+    #[case] capacity: f64,
+    #[case] expected: u32,
+) {
+    let mut budget = RetryBudget::new(0.1, 1.0);
+    for _ in 0..spent {
+        assert!(budget.try_spend());
+    }
+    budget.raise_capacity(capacity);
+    let mut left = 0;
+    while budget.try_spend() {
+        left += 1;
+    }
+    assert_eq!(left, expected);
+}
