Fence silent holders whose keys were granted elsewhere

What callers saw: two upstreams that run requests on the same keys after a partition has healed (OWNER), where the earlier holder could not be reached until its grants had lapsed.

Cause: such a holder got no release, so it had seen no greater epoch. A grant of a leader that was killed during the partition, held up for longer than any bound, made it hold the keys again.

Grants to the same holder wait for a fence under way and replace the waiting ones. Only holders taken over from a leader that did not end cleanly are fenced.

--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -4,6 +4,7 @@
 use crate::balance::{OwnerCandidate, assign_orphans, max_moves, merge_adjacent_ranges, rebalance};
 use crate::call_limit::CallLimit;
 use crate::evacuation::{EvacuatedHolders, move_ranges};
+use crate::fences::{FenceQueue, KeyFence};
 use crate::{FoundOwners, GrantTiming, Holder, KeyLoads, OwnedRange, OwnerMap, PreviousTerm};
 use evac::next_moves;
 use indexmap::{IndexMap, IndexSet};
@@ -130,6 +131,8 @@
     grants_valid_until: Moment,
     /// Time until which a grant whose call was not answered may take effect.
     unanswered_until: Moment,
+    /// Whether a grant of an earlier leader may arrive later than any bound allows.
+    has_untracked_grants: bool,
     has_ended: bool,
     connect_failures: u32,
     next_probe_at: Moment,
@@ -153,6 +156,7 @@
     rebalanced_at: Moment,
     /// Time until which unknown upstreams may hold keys, so that none are granted.
     fenced_until: Moment,
+    fences: FenceQueue,
 }
 
 impl GrantLedger {
@@ -171,6 +175,7 @@
             is_extended: false,
             rebalanced_at: Moment::ZERO,
             fenced_until: Moment::ZERO,
+            fences: FenceQueue::default(),
         }
     }
 
@@ -234,10 +239,12 @@
                 let state = self.holders.entry(holder.clone()).or_default();
                 state.grants_valid_until = grants_valid_until;
                 state.unanswered_until = unanswered_until;
+                state.has_untracked_grants = !previous.is_clean;
             }
         }
         self.pending_map = None;
         self.pending_calls.clear();
+        self.fences = FenceQueue::default();
         self.set_map(now, map);
     }
 
@@ -330,6 +337,9 @@
                 calls.push(call);
             }
         }
+        for (holder, fence) in self.fences.due(now) {
+            calls.push(self.start_fence(now, holder, fence));
+        }
         calls
     }
 
@@ -411,6 +421,14 @@
         if call.kind == CallKind::Probe {
             return;
         }
+        if reply == CallReply::Ended {
+            self.fences.remove_holder(&call.holder);
+        }
+        let is_answered = !matches!(
+            reply,
+            CallReply::Unsent | CallReply::Unreachable | CallReply::Unanswered
+        );
+        self.fences.record_reply(now, &call, is_answered);
         let mut range_states = self.range_states.iter_mut();
         let found = range_states.find(|(_, range_state)| range_state.pending_call == Some(id));
         let Some((&(.., range_epoch), range_state)) = found else {
@@ -668,6 +686,14 @@
             if !is_released && holder_state.grants_valid_until > now {
                 return Some(self.start_call(now, index, &holder, range, epoch, CallKind::Release));
             }
+            if !is_released && holder_state.has_untracked_grants {
+                let fence = KeyFence {
+                    first: range.first,
+                    last: range.last,
+                    epoch: range.epoch,
+                };
+                self.fences.add(now, holder, fence);
+            }
             if let RangePhase::Releasing(holders, _) = &mut self.range_states[index].phase {
                 holders.pop();
             }
@@ -709,6 +735,11 @@
             // A silent upstream's grant is not renewed, so that it lapses.
             return None;
         }
+        if self.fences.is_under_way(&owner, range.first, range.last) {
+            // It could overtake the grant, and release the keys.
+            return None;
+        }
+        self.fences.remove_keys(&owner, range.first, range.last);
         let kind = CallKind::Grant { duration, handover };
         Some(self.start_call(now, index, &owner, range, range.epoch, kind))
     }
@@ -736,6 +767,21 @@
         Some(call)
     }
 
+    fn start_fence(&mut self, now: Moment, holder: Holder, fence: KeyFence) -> GrantCall {
+        let call = GrantCall {
+            id: self.next_call_id,
+            holder,
+            first: fence.first,
+            last: fence.last,
+            epoch: fence.epoch,
+            kind: CallKind::Release,
+            send_deadline: now + MAX_SEND_DELAY,
+        };
+        self.fences.record_sent(&call.holder, fence, call.id);
+        self.add_pending_call(now, call.clone());
+        call
+    }
+
     fn add_pending_call(&mut self, now: Moment, call: GrantCall) {
         self.next_call_id += 1;
         self.pending_calls
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -26,6 +26,7 @@
 mod balance;
 mod call_limit;
 mod evacuation;
+mod fences;
 mod floor;
 mod lease;
 mod ledger;
--- a/crates/grant/tests/held_up_grants.rs
+++ b/crates/grant/tests/held_up_grants.rs
@@ -43,77 +43,170 @@
     }
 }
 
-/// Guards against an earlier holder that takes keys again by a grant which was held up by a
-/// partition for longer than a leader waits for it, while the new owner holds them.
-#[rstest]
-fn release_fences_grants_that_arrive_behind_it(#[values(200, 500, 1_800)] delay_ms: u64) {
-    let candidates = [
-        OwnerCandidate::new("i-1", 1, 4.0),
-        OwnerCandidate::new("i-2", 1, 4.0),
-    ];
-    let old_epoch = (1 << 24) + 1;
-    let map = OwnerMap {
-        ranges: vec![OwnedRange {
+/// A leader that has taken over a row in which keys move from the first upstream to the
+/// second, and a grant of the first one's keys that is still held up.
+struct HeldUpPlay {
+    candidates: [OwnerCandidate; 2],
+    upstreams: [FencedUpstream; 2],
+    late_grant: GrantCall,
+    ledger: GrantLedger,
+    now: Moment,
+    healed_at: Moment,
+}
+
+impl HeldUpPlay {
+    /// Starts a play in which nobody reaches the first upstream for `partition`.
+    fn new(partition: Duration) -> Self {
+        let now = Moment::from_millis(10_000);
+        let candidates = [
+            OwnerCandidate::new("i-1", 1, 4.0),
+            OwnerCandidate::new("i-2", 1, 4.0),
+        ];
+        let old_epoch = (1 << 24) + 1;
+        let map = OwnerMap {
+            ranges: vec![OwnedRange {
+                first: 0,
+                last: u16::MAX,
+                owner: Some(candidates[1].holder.clone()),
+                epoch: old_epoch + 1,
+                is_granted: false,
+                previous_holders: vec![(candidates[0].holder.clone(), old_epoch)],
+            }],
+        };
+        let late_grant = GrantCall {
+            id: 1,
+            holder: candidates[0].holder.clone(),
             first: 0,
             last: u16::MAX,
-            owner: Some(candidates[1].holder.clone()),
-            epoch: old_epoch + 1,
-            is_granted: false,
-            previous_holders: vec![(candidates[0].holder.clone(), old_epoch)],
-        }],
-    };
-    let late_grant = GrantCall {
-        id: 1,
-        holder: candidates[0].holder.clone(),
-        first: 0,
-        last: u16::MAX,
-        epoch: old_epoch,
-        kind: CallKind::Grant {
-            duration: KEPT,
-            handover: None,
-        },
-        send_deadline: Moment::from_millis(10_000),
-    };
-    let mut upstreams = candidates.each_ref().map(|candidate| FencedUpstream {
-        holder: candidate.holder.clone(),
-        greatest_epoch: 0,
-        held_until: Moment::ZERO,
-    });
-    let started_at = Moment::from_millis(10_000);
-    let mut now = started_at;
-    upstreams[0].apply(now, &late_grant);
-    let mut ledger = GrantLedger::new(GrantTiming::default(), 2);
-    ledger.adopt(now, map, PreviousTerm::default());
-    let mut released_at = None;
-    let mut is_delivered = false;
-    // No row is written, so that keys move once and no more.
-    while now < started_at + Duration::from_secs(15) {
-        now = now + STEP;
-        for call in ledger.next_calls(now, &candidates) {
-            if call.kind == CallKind::Release && now >= started_at + PARTITION {
-                released_at.get_or_insert(now);
-            }
-            let is_cut = call.holder == candidates[0].holder && now < started_at + PARTITION;
-            let upstream = upstreams
-                .iter_mut()
-                .find(|upstream| upstream.holder == call.holder);
+            epoch: old_epoch,
+            kind: CallKind::Grant {
+                duration: KEPT,
+                handover: None,
+            },
+            send_deadline: now,
+        };
+        let mut upstreams = candidates.each_ref().map(|candidate| FencedUpstream {
+            holder: candidate.holder.clone(),
+            greatest_epoch: 0,
+            held_until: Moment::ZERO,
+        });
+        upstreams[0].apply(now, &late_grant);
+        let mut ledger = GrantLedger::new(GrantTiming::default(), 2);
+        ledger.adopt(now, map, PreviousTerm::default());
+        Self {
+            candidates,
+            upstreams,
+            late_grant,
+            ledger,
+            now,
+            healed_at: now + partition,
+        }
+    }
+
+    /// Makes the calls of one step; returns whether the first upstream released keys. No row
+    /// is written, so that keys move once and no more.
+    fn step(&mut self) -> bool {
+        self.now = self.now + STEP;
+        let now = self.now;
+        let mut is_released = false;
+        for call in self.ledger.next_calls(now, &self.candidates) {
+            let is_first = call.holder == self.candidates[0].holder;
+            let is_cut = is_first && now < self.healed_at;
+            is_released |= is_first && !is_cut && call.kind == CallKind::Release;
+            let mut upstreams = self.upstreams.iter_mut();
+            let upstream = upstreams.find(|upstream| upstream.holder == call.holder);
             let reply = match upstream {
                 Some(upstream) if !is_cut => upstream.apply(now, &call),
                 _ => CallReply::Unreachable,
             };
-            ledger.record_reply(now, &call, reply);
+            self.ledger.record_reply(now, &call, reply);
         }
-        let is_due = released_at.is_some_and(|at| now >= at + Duration::from_millis(delay_ms));
-        if is_due && !is_delivered {
+        is_released
+    }
+
+    fn deliver_late_grant(&mut self) {
+        self.upstreams[0].apply(self.now, &self.late_grant);
+    }
+
+    fn check_holders(&self) {
+        let holds = |upstream: &&FencedUpstream| upstream.held_until > self.now;
+        let count = self.upstreams.iter().filter(holds).count();
+        assert!(count < 2, "two holders at {:?}", self.now);
+    }
+}
+
+/// Guards against an earlier holder that takes keys again by a grant which was held up by a
+/// partition for longer than a leader waits for it, while the new owner holds them.
+#[rstest]
+fn release_fences_grants_that_arrive_behind_it(#[values(200, 500, 1_800)] delay_ms: u64) {
+    let mut play = HeldUpPlay::new(PARTITION);
+    let mut due_at = None;
+    let mut is_delivered = false;
+    let ends_at = play.now + Duration::from_secs(15);
+    while play.now < ends_at {
+        if play.step() {
+            due_at.get_or_insert(play.now + Duration::from_millis(delay_ms));
+        }
+        if !is_delivered && due_at.is_some_and(|due_at| play.now >= due_at) {
             is_delivered = true;
-            upstreams[0].apply(now, &late_grant);
+            play.deliver_late_grant();
         }
-        let holders = upstreams
-            .iter()
-            .filter(|upstream| upstream.held_until > now);
-        assert!(holders.count() < 2, "two holders at {now:?}");
+        play.check_holders();
     }
-    assert!(is_delivered && upstreams[1].held_until > now);
-    let step = ledger.step(now, &candidates, &KeyLoads::default());
+    assert!(is_delivered && play.upstreams[1].held_until > play.now);
+    let step = play
+        .ledger
+        .step(play.now, &play.candidates, &KeyLoads::default());
     assert!(step.commit.is_some(), "the grant is known");
 }
+
+/// Guards against the same by a holder that is silent until its grants must have lapsed, so
+/// that its keys are granted elsewhere without a release. Grants that arrive within 300 ms
+/// after the partition has healed don't count.
+#[rstest]
+fn silent_holder_is_fenced_when_it_is_back(
+    #[values(7_500, 12_000, 20_000)] partition_ms: u64,
+    #[values(320, 600, 1_800)] delay_ms: u64,
+) {
+    let mut play = HeldUpPlay::new(Duration::from_millis(partition_ms));
+    while play.now < play.healed_at + Duration::from_millis(delay_ms) {
+        play.step();
+        play.check_holders();
+    }
+    assert!(play.upstreams[1].held_until > play.now, "the keys moved");
+    play.deliver_late_grant();
+    for _ in 0..200 {
+        play.check_holders();
+        play.step();
+    }
+}
+
+/// A silent holder that is granted its keys again is not fenced from them.
+#[test]
+fn silent_holder_that_is_granted_keys_again_keeps_them() {
+    let mut play = HeldUpPlay::new(Duration::from_secs(12));
+    let mut map = None;
+    while play.now < play.healed_at + Duration::from_secs(10) {
+        play.step();
+        play.check_holders();
+        if play.now + Duration::from_secs(2) < play.healed_at {
+            continue;
+        }
+        // The second upstream leaves before the first can be reached again.
+        let remaining = &play.candidates[..1];
+        let step = play.ledger.step(play.now, remaining, &KeyLoads::default());
+        for call in step.calls {
+            play.ledger.record_reply(play.now, &call, CallReply::Unsent);
+        }
+        if step.commit.is_some() {
+            map = step.commit;
+            play.ledger.record_commit(play.now, true);
+        }
+    }
+    let map = map.expect("the keys were assigned");
+    assert_eq!(
+        map.ranges[0].owner.as_ref(),
+        Some(&play.candidates[0].holder)
+    );
+    assert!(play.upstreams[0].held_until > play.now, "the keys are back");
+}
