Keep larger bodies in blocks of one size that are used again

Cause: chunked bodies were kept in small blocks of many sizes, bodies with a length in one large block. The allocator keeps freed small blocks and can't use them for a large one, so that twice the account was resident.

Change: bodies above 4 KB use blocks of 16 KB, and freed blocks go to a pool of the account, which gives them up when smaller bodies need the room. Bodies with a length reserve their memory as before, and take blocks as they arrive.

--- a/crates/front/src/body_memory.rs
+++ b/crates/front/src/body_memory.rs
@@ -2,15 +2,15 @@
 
 use futures::io::{AsyncRead, AsyncWrite};
 use h1::{BodyLength, BodyReader, Connection};
+use parking_lot::Mutex;
 use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-/// Minimum size of a part that keeps the buffer in which it arrived, in bytes. Smaller
-/// parts share blocks, as a buffer for each can take many times their size.
-const MIN_OWN_BLOCK_BYTES: usize = 4 << 10;
-/// Maximum size of a block that small parts share, in bytes; the size of a read.
-const MAX_SHARED_BLOCK_BYTES: u64 = 16 << 10;
+/// Size of a block, in bytes; the size of a read.
+const BLOCK_BYTES: usize = 16 << 10;
+/// Maximum size of a block that is allocated as small as what it holds, in bytes.
+const MAX_SMALL_BLOCK_BYTES: usize = 4 << 10;
 /// Maximum size of a body that is copied to be sent together with its head, in bytes.
 const MAX_JOINED_BYTES: u64 = 16 << 10;
 /// Memory that a block takes beside its bytes: the allocator's header, and its place in a
@@ -46,12 +46,43 @@
     }
 }
 
+/// Blocks that no body uses.
+///
+/// The allocator keeps small blocks that are freed, and has no use for them when a larger one
+/// is needed. All larger bodies therefore use blocks of one size, again and again.
+#[derive(Debug)]
+struct BlockPool {
+    /// Maximum memory of the bodies and of the blocks in the pool, in bytes.
+    max_total: u64,
+    unused: Mutex<Vec<Vec<u8>>>,
+}
+
+impl BlockPool {
+    fn take(&self) -> Vec<u8> {
+        let unused = self.unused.lock().pop();
+        unused.unwrap_or_else(|| Vec::with_capacity(BLOCK_BYTES))
+    }
+
+    fn put(&self, mut block: Vec<u8>) {
+        block.clear();
+        self.unused.lock().push(block);
+    }
+
+    /// Frees the blocks for which there is no room beside the bodies.
+    fn trim(&self, held_bytes: u64) {
+        let room = self.max_total.saturating_sub(held_bytes);
+        let max_count = room / BLOCK_BYTES as u64;
+        self.unused.lock().truncate(max_count as usize);
+    }
+}
+
 /// Memory for bodies.
 #[derive(Clone, Debug)]
 pub(crate) struct BodyMemory {
     /// Maximum memory of all bodies together, in bytes.
     max_total: u64,
     held_bytes: Arc<AtomicU64>,
+    pool: Arc<BlockPool>,
 }
 
 /// A body, whose memory counts as held until it is dropped.
@@ -62,8 +93,10 @@
 pub(crate) struct HeldBody {
     blocks: Vec<Vec<u8>>,
     len: u64,
-    /// Memory that the blocks take, in bytes.
+    /// Memory that the blocks take and that is reserved, in bytes.
     block_bytes: u64,
+    /// Number of blocks of [`BLOCK_BYTES`] that are reserved.
+    reserved_blocks: u64,
     memory: BodyMemory,
 }
 
@@ -107,7 +140,7 @@
             if self.len + part.len() as u64 > max_bytes {
                 return Err(BodyError::TooLarge);
             }
-            self.push(part)?;
+            self.push(&part)?;
         }
         Ok(())
     }
@@ -118,30 +151,57 @@
     ///
     /// Fails when there is not enough.
     pub(crate) fn reserve(&mut self, bytes: u64) -> Result<(), BodyError> {
-        self.count(bytes + BLOCK_OVERHEAD_BYTES)?;
-        self.blocks.push(Vec::with_capacity(bytes as usize));
+        if bytes <= MAX_SMALL_BLOCK_BYTES as u64 {
+            return self.add_small_block(bytes as usize);
+        }
+        let count = bytes.div_ceil(BLOCK_BYTES as u64);
+        self.count(count.saturating_mul(BLOCK_BYTES as u64 + BLOCK_OVERHEAD_BYTES))?;
+        self.reserved_blocks += count;
         Ok(())
     }
 
-    /// Appends a part to the last block, or as a new one if it does not fit.
-    fn push(&mut self, part: Vec<u8>) -> Result<(), BodyError> {
-        let part_bytes = part.len() as u64;
-        let last = self.blocks.last();
-        let is_fitting = last.is_some_and(|block| block.capacity() - block.len() >= part.len());
-        if !is_fitting && part.len() >= MIN_OWN_BLOCK_BYTES {
-            self.count(part_bytes + BLOCK_OVERHEAD_BYTES)?;
-            self.blocks.push(part);
-            self.len += part_bytes;
-            return Ok(());
+    /// Appends a part to the last block, and what does not fit to new ones.
+    fn push(&mut self, part: &[u8]) -> Result<(), BodyError> {
+        let mut rest = part;
+        while !rest.is_empty() {
+            let room = self
+                .blocks
+                .last()
+                .map_or(0, |block| block.capacity() - block.len());
+            if room == 0 {
+                self.add_block(rest.len())?;
+                continue;
+            }
+            let (fitting, remaining) = rest.split_at(room.min(rest.len()));
+            if let Some(block) = self.blocks.last_mut() {
+                block.extend_from_slice(fitting);
+            }
+            self.len += fitting.len() as u64;
+            rest = remaining;
         }
-        if !is_fitting {
+        Ok(())
+    }
+
+    /// Adds a block for the next `bytes` bytes or the first of them.
+    fn add_block(&mut self, bytes: usize) -> Result<(), BodyError> {
+        let max_small = MAX_SMALL_BLOCK_BYTES as u64;
+        if self.reserved_blocks > 0 {
+            self.reserved_blocks -= 1;
+        } else if self.len < max_small && bytes as u64 <= max_small {
             // Blocks grow with the body, so that a short one takes little.
-            self.reserve(part_bytes.max(self.len.min(MAX_SHARED_BLOCK_BYTES)))?;
-        }
-        if let Some(block) = self.blocks.last_mut() {
-            block.extend_from_slice(&part);
-            self.len += part_bytes;
+            return self.add_small_block(bytes.max(self.len as usize));
+        } else {
+            self.count(BLOCK_BYTES as u64 + BLOCK_OVERHEAD_BYTES)?;
         }
+        self.blocks.push(self.memory.pool.take());
+        Ok(())
+    }
+
+    fn add_small_block(&mut self, bytes: usize) -> Result<(), BodyError> {
+        self.count(bytes as u64 + BLOCK_OVERHEAD_BYTES)?;
+        let held_bytes = self.memory.held_bytes.load(Ordering::Relaxed);
+        self.memory.pool.trim(held_bytes);
+        self.blocks.push(Vec::with_capacity(bytes));
         Ok(())
     }
 
@@ -160,6 +220,12 @@
 
 impl Drop for HeldBody {
     fn drop(&mut self) {
+        // The blocks are in the pool before others may allocate as much.
+        for block in self.blocks.drain(..) {
+            if block.capacity() == BLOCK_BYTES {
+                self.memory.pool.put(block);
+            }
+        }
         let held_bytes = &self.memory.held_bytes;
         held_bytes.fetch_sub(self.block_bytes, Ordering::Relaxed);
     }
@@ -171,6 +237,10 @@
         Self {
             max_total,
             held_bytes: Arc::default(),
+            pool: Arc::new(BlockPool {
+                max_total,
+                unused: Mutex::default(),
+            }),
         }
     }
 
@@ -180,6 +250,7 @@
         Self {
             max_total: self.max_total / parts,
             held_bytes: Arc::clone(&self.held_bytes),
+            pool: Arc::clone(&self.pool),
         }
     }
 
@@ -194,6 +265,7 @@
             blocks: Vec::new(),
             len: 0,
             block_bytes: 0,
+            reserved_blocks: 0,
             memory: self.clone(),
         }
     }
--- a/crates/front/src/host.rs
+++ b/crates/front/src/host.rs
@@ -46,10 +46,9 @@
 use store::RowStore;
 
 /// Fraction of the host's memory that the bodies of all requests together may take. The
-/// rest is for answers, connections, and what the allocator keeps of freed bodies.
+/// rest is for answers, connections, and what the allocator keeps of freed memory.
 const REQUEST_FRACTION: u64 = 2;
-/// Fraction of the host's memory that all answers together may take. The allocator keeps
-/// some of what they free.
+/// Fraction of the host's memory that all answers together may take.
 const TOTAL_ANSWER_FRACTION: u64 = 16;
 /// Fraction of the host's memory that one answer may take. An upstream in trouble may
 /// send a body without end.
