--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -4,6 +4,7 @@
 //! `play CASE DIRECTORY`; the variable TROUBLE, if it is 0, leaves the disruption out.
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod crash;
 mod held_up;
 mod hosts;
 mod servers;
@@ -57,6 +58,7 @@
         lines: Mutex::default(),
     });
     let outcome = match case.as_str() {
+        "crash" => crash::play(&record, has_trouble),
         "held-up" => held_up::play(&record, has_trouble),
         _ => Err(format!("unknown case {case}")),
     };
